--- /dev/null
+++ b/core/audit/doc.go
@@ -0,0 +1,2 @@
+// Package audit checks recorded histories against the promises of the system.
+package audit
--- /dev/null
+++ b/core/config/merge.go
@@ -0,0 +1,252 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/ini.v1"
+)
+
+// MaxHistory is the number of revisions an accepted configuration remembers for three-way merges.
+const MaxHistory = 64
+
+// Change is the change of one setting; an empty pointer means that the setting is absent.
+type Change struct {
+	File    string
+	Section string
+	Key     string
+	Old     *string
+	New     *string
+}
+
+// Revision is one accepted step of the configuration.
+type Revision struct {
+	Number  uint64
+	Changes []Change
+}
+
+// Accepted is the configuration record that all operators share.
+type Accepted struct {
+	Revision    uint64
+	OperationID string
+	Files       []File
+	History     []Revision
+}
+
+// Conflict is a setting that two operators changed to different values.
+type Conflict struct {
+	Section string
+	Key     string
+	Theirs  string
+	Mine    string
+}
+
+// ConflictError reports the settings that a newer revision changed in another way.
+type ConflictError struct {
+	Base      uint64
+	Accepted  uint64
+	Conflicts []Conflict
+}
+
+// Error lists the settings in conflict.
+func (e *ConflictError) Error() string {
+	lines := make([]string, len(e.Conflicts))
+	for i, c := range e.Conflicts {
+		lines[i] = fmt.Sprintf("[%s] %s: accepted %q, yours %q", c.Section, c.Key, c.Theirs, c.Mine)
+	}
+	return fmt.Sprintf("revision %d was accepted after your base revision %d and changed the same keys:\n%s", e.Accepted, e.Base, strings.Join(lines, "\n"))
+}
+
+// Publish merges the operator's files, based on revision base, into the accepted configuration.
+func Publish(accepted Accepted, base uint64, mine []File, operationID string) (Accepted, error) {
+	if base > accepted.Revision {
+		return accepted, errors.Newf("base revision %d is newer than the accepted revision %d", base, accepted.Revision)
+	}
+	baseFiles, err := accepted.filesAt(base)
+	if err != nil {
+		return accepted, err
+	}
+	changes, err := Diff(baseFiles, mine)
+	if err != nil {
+		return accepted, err
+	}
+	if conflicts := accepted.conflicts(base, changes); len(conflicts) > 0 {
+		return accepted, &ConflictError{Base: base, Accepted: accepted.Revision, Conflicts: conflicts}
+	}
+	files := sortedFiles(mine)
+	if base != accepted.Revision {
+		if files, err = applyChanges(accepted.Files, changes); err != nil {
+			return accepted, err
+		}
+	}
+	if _, problems := Parse(files, accepted.Revision+1); len(problems) > 0 {
+		return accepted, JoinProblems(problems)
+	}
+	return accepted.next(files, changes, operationID), nil
+}
+
+func (a Accepted) next(files []File, changes []Change, operationID string) Accepted {
+	history := append(slices.Clone(a.History), Revision{Number: a.Revision + 1, Changes: changes})
+	if len(history) > MaxHistory {
+		history = history[len(history)-MaxHistory:]
+	}
+	return Accepted{Revision: a.Revision + 1, OperationID: operationID, Files: files, History: history}
+}
+
+// filesAt undoes the revisions after base.
+func (a Accepted) filesAt(base uint64) ([]File, error) {
+	files := a.Files
+	for i := len(a.History) - 1; i >= 0 && a.History[i].Number > base; i-- {
+		undone := make([]Change, 0, len(a.History[i].Changes))
+		for _, c := range a.History[i].Changes {
+			c.Old, c.New = c.New, c.Old
+			undone = append(undone, c)
+		}
+		var err error
+		if files, err = applyChanges(files, undone); err != nil {
+			return nil, err
+		}
+	}
+	oldest := a.Revision - uint64(len(a.History))
+	if base < oldest {
+		return nil, errors.Newf("base revision %d is older than the remembered history, which starts at %d: fetch the accepted files and apply again", base, oldest)
+	}
+	return files, nil
+}
+
+func (a Accepted) conflicts(base uint64, mine []Change) []Conflict {
+	type place struct{ section, key string }
+	changed := make(map[place]Change)
+	for _, r := range a.History {
+		if r.Number <= base {
+			continue
+		}
+		for _, c := range r.Changes {
+			changed[place{c.Section, c.Key}] = c
+		}
+	}
+	var conflicts []Conflict
+	for _, m := range mine {
+		theirs, found := changed[place{m.Section, m.Key}]
+		if found && (theirs.File != m.File || valueOf(theirs.New) != valueOf(m.New) || (theirs.New == nil) != (m.New == nil)) {
+			conflicts = append(conflicts, Conflict{m.Section, m.Key, valueOf(theirs.New), valueOf(m.New)})
+		}
+	}
+	return conflicts
+}
+
+func valueOf(value *string) string {
+	if value == nil {
+		return "(absent)"
+	}
+	return *value
+}
+
+// Diff returns the settings that differ between two sets of files.
+func Diff(before, after []File) ([]Change, error) {
+	type place struct{ file, section, key string }
+	values := func(files []File) (map[place]string, error) {
+		all := make(map[place]string)
+		for _, f := range files {
+			settings, problems := parseFile(f)
+			if len(problems) > 0 {
+				return nil, JoinProblems(problems)
+			}
+			for _, s := range settings {
+				all[place{s.File, s.Section, s.Key}] = s.Value
+			}
+		}
+		return all, nil
+	}
+	old, err := values(before)
+	if err != nil {
+		return nil, err
+	}
+	next, err := values(after)
+	if err != nil {
+		return nil, err
+	}
+	var changes []Change
+	for p, value := range next {
+		if previous, existed := old[p]; !existed {
+			changes = append(changes, Change{p.file, p.section, p.key, nil, &value})
+		} else if previous != value {
+			changes = append(changes, Change{p.file, p.section, p.key, &previous, &value})
+		}
+	}
+	for p, value := range old {
+		if _, kept := next[p]; !kept {
+			changes = append(changes, Change{p.file, p.section, p.key, &value, nil})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int {
+		return strings.Compare(a.File+"\x00"+a.Section+"\x00"+a.Key, b.File+"\x00"+b.Section+"\x00"+b.Key)
+	})
+	return changes, nil
+}
+
+// applyChanges edits files in place of their old values and keeps comments.
+func applyChanges(files []File, changes []Change) ([]File, error) {
+	texts := make(map[string]string)
+	for _, f := range files {
+		texts[f.Name] = f.Text
+	}
+	byFile := make(map[string][]Change)
+	for _, c := range changes {
+		byFile[c.File] = append(byFile[c.File], c)
+	}
+	for name, edits := range byFile {
+		text, err := editFile(texts[name], edits)
+		if err != nil {
+			return nil, errors.Wrapf(err, "edit %s", name)
+		}
+		texts[name] = text
+	}
+	var result []File
+	for name, text := range texts {
+		if strings.TrimSpace(text) != "" {
+			result = append(result, File{Name: name, Text: text})
+		}
+	}
+	return sortedFiles(result), nil
+}
+
+func editFile(text string, edits []Change) (string, error) {
+	options := ini.LoadOptions{KeyValueDelimiters: "=", IgnoreInlineComment: true}
+	parsed, err := ini.LoadSources(options, []byte(text))
+	if err != nil {
+		return "", err
+	}
+	for _, e := range edits {
+		s, err := parsed.NewSection(e.Section)
+		if err != nil {
+			return "", err
+		}
+		switch {
+		case e.Key == "":
+			if e.New == nil {
+				parsed.DeleteSection(e.Section)
+			}
+		case e.New == nil:
+			s.DeleteKey(e.Key)
+			if len(s.Keys()) == 0 {
+				parsed.DeleteSection(e.Section)
+			}
+		default:
+			s.Key(e.Key).SetValue(*e.New)
+		}
+	}
+	var b strings.Builder
+	if _, err := parsed.WriteTo(&b); err != nil {
+		return "", err
+	}
+	return b.String(), nil
+}
+
+func sortedFiles(files []File) []File {
+	sorted := slices.Clone(files)
+	slices.SortFunc(sorted, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
+	return sorted
+}
--- /dev/null
+++ b/core/config/model.go
@@ -0,0 +1,155 @@
+package config
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Config is a validated configuration.
+type Config struct {
+	Revision   uint64
+	Deployment Deployment
+	Policies   Policies
+	Planner    Planner
+	Zones      []Zone
+	Services   []Service
+	Pools      []Pool
+	Instances  []Instance
+	Teams      []Team
+	Leaves     []Leave
+	Jobs       []Job
+}
+
+// Deployment names the deployment and holds the timeouts shared by all entries.
+type Deployment struct {
+	Name             string
+	LeaseDuration    time.Duration
+	HeartbeatPeriod  time.Duration
+	ClockError       time.Duration
+	ListLag          time.Duration
+	IdempotencyRetry time.Duration
+}
+
+// Policies names the plug-in in force for each exchangeable decision.
+type Policies struct {
+	Admission string
+	Routing   string
+	Sharing   string
+	Planner   string
+}
+
+// Planner holds the weights and limits of fleet decisions.
+type Planner struct {
+	MovesWeight    int
+	BufferWeight   int
+	RollOutWeight  int
+	FreezeFailures int
+	FreezePeriod   time.Duration
+	ReplaceAfter   time.Duration
+	WaveInstances  int
+	ReturnSpares   bool
+}
+
+// Zone is one availability zone.
+type Zone struct {
+	Name   string
+	Region string
+}
+
+// Service is what callers name in a request; one pool serves it.
+type Service struct {
+	Name           string
+	Deadline       time.Duration
+	QueueLimit     int
+	UrgentShare    int // percent of the queue
+	RetryShare     int // percent of first attempts
+	SilenceTimeout time.Duration
+}
+
+// Budget limits how many instances of a pool may be unavailable at once.
+type Budget struct {
+	Count   int
+	Percent int
+}
+
+// Limit returns the number of instances out of size that may be unavailable.
+func (b Budget) Limit(size int) int {
+	if b.Percent > 0 {
+		return size * b.Percent / 100
+	}
+	return b.Count
+}
+
+// Pool is a set of instances with one availability budget.
+type Pool struct {
+	Name    string
+	Service string
+	Budget  Budget
+	Spare   bool
+}
+
+// Instance is a worker on which work is placed.
+type Instance struct {
+	Name         string
+	Address      netip.AddrPort
+	Zone         string
+	Rack         string
+	Pool         string
+	Slots        int
+	Connections  int
+	Processors   int
+	MemoryMB     int
+	Accelerators int
+}
+
+// Team is a group of callers with a quota.
+type Team struct {
+	Name  string
+	Quota int // percent of a service's slots
+}
+
+// Leave names instances and racks that are due to leave.
+type Leave struct {
+	Name      string
+	Instances []string
+	Racks     []string // zone/rack
+	Return    bool     // maintenance: the instance comes back to its pool
+}
+
+// Job is long-running work that is placed on the workers of a pool.
+type Job struct {
+	Name         string
+	Pool         string
+	Team         string
+	Processors   int
+	MemoryMB     int
+	Accelerators int
+	Urgent       bool
+	RunOnce      bool
+	Replicas     int
+}
+
+// FindPool returns the pool with the given name.
+func (c *Config) FindPool(name string) (Pool, bool) {
+	return find(c.Pools, func(p Pool) bool { return p.Name == name })
+}
+
+// FindService returns the service with the given name.
+func (c *Config) FindService(name string) (Service, bool) {
+	return find(c.Services, func(s Service) bool { return s.Name == name })
+}
+
+// FindInstance returns the instance with the given name.
+func (c *Config) FindInstance(name string) (Instance, bool) {
+	return find(c.Instances, func(i Instance) bool { return i.Name == name })
+}
+
+func find[T any](all []T, match func(T) bool) (T, bool) {
+	for _, v := range all {
+		if match(v) {
+			return v, true
+		}
+	}
+	var zero T
+	return zero, false
+}
--- /dev/null
+++ b/core/event/event.go
@@ -0,0 +1,167 @@
+package event
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind names what happened.
+type Kind string
+
+// Kinds of events.
+const (
+	EntryStarted     Kind = "EntryStarted"
+	EntryStopping    Kind = "EntryStopping"
+	ConfigInForce    Kind = "ConfigInForce"
+	ZoneInForce      Kind = "ZoneInForce"
+	PlannerElected   Kind = "PlannerElected"
+	PlannerLost      Kind = "PlannerLost"
+	InstanceChanged  Kind = "InstanceChanged"
+	InstanceHeld     Kind = "InstanceHeld"
+	SenderAdded      Kind = "SenderAdded"
+	SenderRemoved    Kind = "SenderRemoved"
+	AllowanceGiven   Kind = "AllowanceGiven"
+	AllowanceTaken   Kind = "AllowanceTaken"
+	PlatformDown     Kind = "PlatformDown"
+	PlatformUp       Kind = "PlatformUp"
+	TargetEjected    Kind = "TargetEjected"
+	TargetTrial      Kind = "TargetTrial"
+	TargetReadmitted Kind = "TargetReadmitted"
+	ConnectionSilent Kind = "ConnectionSilent"
+	RequestUnknown   Kind = "RequestUnknown"
+	JobChanged       Kind = "JobChanged"
+)
+
+// Event is one record of the time line.
+type Event struct {
+	Stamp    Stamp
+	Entry    string
+	Kind     Kind
+	Zone     string `json:",omitempty"`
+	Instance string `json:",omitempty"`
+	Pool     string `json:",omitempty"`
+	Request  string `json:",omitempty"`
+	Revision uint64 `json:",omitempty"`
+	Detail   string `json:",omitempty"`
+}
+
+// String formats the event as one line of key=value pairs.
+func (e Event) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "Time=%s.%d Entry=%s Kind=%s", e.Stamp.Wall.UTC().Format("2006-01-02T15:04:05.000Z"), e.Stamp.Logical, e.Entry, e.Kind)
+	for _, pair := range [][2]string{{"Zone", e.Zone}, {"Instance", e.Instance}, {"Pool", e.Pool}, {"Request", e.Request}} {
+		if pair[1] != "" {
+			fmt.Fprintf(&b, " %s=%s", pair[0], pair[1])
+		}
+	}
+	if e.Revision != 0 {
+		fmt.Fprintf(&b, " Revision=%d", e.Revision)
+	}
+	if e.Detail != "" {
+		fmt.Fprintf(&b, " Detail=%q", e.Detail)
+	}
+	return b.String()
+}
+
+// aboutTraffic reports whether events of this kind follow the request rate.
+func (k Kind) aboutTraffic() bool {
+	switch k {
+	case RequestUnknown, ConnectionSilent, TargetEjected, TargetTrial, TargetReadmitted:
+		return true
+	default:
+		return false
+	}
+}
+
+// Log keeps the newest events of one entry in bounded memory.
+//
+// Events about traffic have a place of their own, so that they never push out
+// the events about control.
+type Log struct {
+	Entry string
+	Limit int // events of each sort
+
+	clock   Clock
+	control ring
+	traffic ring
+}
+
+const defaultLimit = 2048
+
+// ring holds the newest events of one sort.
+type ring struct {
+	events []Event
+	next   int
+}
+
+func (r *ring) add(e Event, limit int) {
+	if len(r.events) < limit {
+		r.events = append(r.events, e)
+		return
+	}
+	r.events[r.next] = e
+	r.next = (r.next + 1) % limit
+}
+
+func (r *ring) ordered() []Event {
+	return append(slices.Clone(r.events[r.next:]), r.events[:r.next]...)
+}
+
+// Add stamps an event and stores it in place of the oldest one of its sort when there is no room.
+func (l *Log) Add(now time.Time, e Event) Event {
+	e.Stamp = l.clock.Next(now)
+	e.Entry = l.Entry
+	limit := l.Limit
+	if limit == 0 {
+		limit = defaultLimit
+	}
+	if e.Kind.aboutTraffic() {
+		l.traffic.add(e, limit)
+	} else {
+		l.control.add(e, limit)
+	}
+	return e
+}
+
+// Observe takes account of another entry's stamp.
+func (l *Log) Observe(s Stamp, now time.Time, maxAhead time.Duration) {
+	l.clock.Observe(s, now, maxAhead)
+}
+
+// Next returns a stamp for an outgoing message.
+func (l *Log) Next(now time.Time) Stamp {
+	return l.clock.Next(now)
+}
+
+// Events returns a copy of the stored events, oldest first.
+func (l *Log) Events() []Event {
+	return Merge(l.control.ordered(), l.traffic.ordered())
+}
+
+// Filter selects events; an empty field matches everything.
+type Filter struct {
+	Instance string
+	Pool     string
+	Request  string
+}
+
+// Match reports whether e passes the filter.
+func (f Filter) Match(e Event) bool {
+	matches := func(want, have string) bool { return want == "" || want == have }
+	return matches(f.Instance, e.Instance) && matches(f.Pool, e.Pool) && matches(f.Request, e.Request)
+}
+
+// Merge combines the logs of several entries in causal order.
+func Merge(logs ...[]Event) []Event {
+	merged := slices.Concat(logs...)
+	slices.SortStableFunc(merged, func(a, b Event) int {
+		if c := a.Stamp.Compare(b.Stamp); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Entry, b.Entry)
+	})
+	return merged
+}
--- /dev/null
+++ b/core/fleet/zone.go
@@ -0,0 +1,162 @@
+package fleet
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"daisysaddle/core/config"
+)
+
+// Instance is the shared state of one instance.
+type Instance struct {
+	Name          string
+	Pool          string
+	Home          string // pool that the configuration names
+	Destination   string `json:",omitempty"` // pool that a moving instance goes to
+	State         State
+	MarkRevision  uint64 `json:",omitempty"` // zone revision that stopped new work
+	Since         time.Time
+	FinishedLeave string `json:",omitempty"` // Leave section that is complete for this instance
+	Absent        bool   `json:",omitempty"` // a returned instance was seen to go away
+}
+
+// Sender is an entry that may send work to the instances of the zone.
+type Sender struct {
+	Name        string
+	Incarnation string
+	PeerAddress netip.AddrPort
+}
+
+// Allowance is a zone's share of one pool's availability budget.
+type Allowance struct {
+	Pool    string
+	Base    int // share that the configuration gives
+	Granted int // base plus what was taken in less what was given away
+}
+
+// Transfer is allowance on its way from one zone to another.
+type Transfer struct {
+	ID   string
+	Pool string
+	To   string
+}
+
+// Zone is the record of one availability zone; each change of it is one compare-and-swap.
+type Zone struct {
+	Name           string
+	Revision       uint64
+	Term           uint64
+	OperationID    string
+	ConfigRevision uint64
+	RingRevision   uint64 // revision at which Senders last changed
+	Instances      []Instance
+	Senders        []Sender
+	Allowances     []Allowance
+	Outgoing       []Transfer  `json:",omitempty"`
+	Taken          []string    `json:",omitempty"` // transfer IDs taken in and not yet forgotten by their giver
+	Wants          []string    `json:",omitempty"` // pools whose allowance this zone asks for
+	Failures       []time.Time `json:",omitempty"`
+	Moves          uint64      // moves since the record was created
+}
+
+// Clone returns a deep copy of z.
+func (z Zone) Clone() Zone {
+	z.Instances = slices.Clone(z.Instances)
+	z.Senders = slices.Clone(z.Senders)
+	z.Allowances = slices.Clone(z.Allowances)
+	z.Outgoing = slices.Clone(z.Outgoing)
+	z.Taken = slices.Clone(z.Taken)
+	z.Wants = slices.Clone(z.Wants)
+	z.Failures = slices.Clone(z.Failures)
+	return z
+}
+
+// Find returns a pointer to the named instance, or nil.
+func (z *Zone) Find(name string) *Instance {
+	for i := range z.Instances {
+		if z.Instances[i].Name == name {
+			return &z.Instances[i]
+		}
+	}
+	return nil
+}
+
+// Allowance returns a pointer to the allowance for pool, adding an empty one when there is none.
+func (z *Zone) Allowance(pool string) *Allowance {
+	for i := range z.Allowances {
+		if z.Allowances[i].Pool == pool {
+			return &z.Allowances[i]
+		}
+	}
+	z.Allowances = append(z.Allowances, Allowance{Pool: pool})
+	return &z.Allowances[len(z.Allowances)-1]
+}
+
+// HasSender reports whether the entry with this name and incarnation may send work in the zone.
+func (z *Zone) HasSender(name, incarnation string) bool {
+	return slices.ContainsFunc(z.Senders, func(s Sender) bool { return s.Name == name && s.Incarnation == incarnation })
+}
+
+// Targets returns the number of instances that the configuration places in each pool of the zone.
+func Targets(c *config.Config, zone string) map[string]int {
+	targets := make(map[string]int)
+	for _, i := range c.Instances {
+		if i.Zone == zone {
+			targets[i.Pool]++
+		}
+	}
+	return targets
+}
+
+// Available returns the number of instances of each pool that accept work.
+func (z *Zone) Available() map[string]int {
+	available := make(map[string]int)
+	for _, i := range z.Instances {
+		if i.State.AcceptsWork() {
+			available[i.Pool]++
+		}
+	}
+	return available
+}
+
+// SplitBudget divides a pool's budget among the zones in proportion to their instances; shares sum to the budget.
+func SplitBudget(c *config.Config, pool config.Pool) map[string]int {
+	counts := make(map[string]int)
+	size := 0
+	for _, i := range c.Instances {
+		if i.Pool == pool.Name {
+			counts[i.Zone]++
+			size++
+		}
+	}
+	return largestRemainder(pool.Budget.Limit(size), size, counts)
+}
+
+func largestRemainder(budget, size int, counts map[string]int) map[string]int {
+	type part struct {
+		zone      string
+		remainder int
+	}
+	shares := make(map[string]int)
+	var parts []part
+	left := budget
+	for zone, count := range counts {
+		shares[zone] = budget * count / size
+		left -= shares[zone]
+		parts = append(parts, part{zone, budget * count % size})
+	}
+	slices.SortFunc(parts, func(a, b part) int {
+		if a.remainder != b.remainder {
+			return b.remainder - a.remainder
+		}
+		if a.zone < b.zone {
+			return -1
+		}
+		return 1
+	})
+	for i := 0; i < left; i++ {
+		shares[parts[i%len(parts)].zone]++
+	}
+	return shares
+}
--- /dev/null
+++ b/core/kernel/doc.go
@@ -0,0 +1,2 @@
+// Package kernel holds the registries through which plug-ins make policies available by name.
+package kernel
--- /dev/null
+++ b/core/plan/allow.go
@@ -0,0 +1,144 @@
+package plan
+
+import (
+	"fmt"
+	"slices"
+
+	"daisysaddle/core/event"
+	"daisysaddle/core/fleet"
+)
+
+// updateAllowances follows changes of the configured shares: a smaller share holds at once,
+// a larger one only after every zone has adopted the configuration.
+func (s *step) updateAllowances() {
+	adopted := s.everyZoneAdopted()
+	for _, pool := range s.view.Config.Pools {
+		if pool.Spare {
+			continue
+		}
+		share := fleet.SplitBudget(s.view.Config, pool)[s.zone.Name]
+		if share == 0 && !s.hasAllowance(pool.Name) {
+			continue
+		}
+		a := s.zone.Allowance(pool.Name)
+		if share < a.Base || share > a.Base && adopted {
+			a.Granted += share - a.Base
+			a.Base = share
+		}
+	}
+}
+
+func (s *step) hasAllowance(pool string) bool {
+	return slices.ContainsFunc(s.zone.Allowances, func(a fleet.Allowance) bool { return a.Pool == pool })
+}
+
+func (s *step) granted(pool string) int {
+	if !s.hasAllowance(pool) {
+		return 0
+	}
+	return s.zone.Allowance(pool).Granted
+}
+
+func (s *step) everyZoneAdopted() bool {
+	for _, z := range s.view.Config.Zones {
+		if z.Name == s.zone.Name {
+			continue
+		}
+		if s.view.Others[z.Name].ConfigRevision < s.view.Config.Revision {
+			return false
+		}
+	}
+	return true
+}
+
+// unavailable returns how many instances the pool lacks in this zone.
+func (s *step) unavailable(pool string) int {
+	return max(0, s.target[pool]-s.zone.Available()[pool])
+}
+
+// settleTransfers takes in allowance given to this zone and forgets what others took in.
+func (s *step) settleTransfers() {
+	for _, other := range s.view.Others {
+		for _, t := range other.Outgoing {
+			if t.To != s.zone.Name || slices.Contains(s.zone.Taken, t.ID) {
+				continue
+			}
+			s.zone.Allowance(t.Pool).Granted++
+			s.zone.Taken = append(s.zone.Taken, t.ID)
+			s.note(event.Event{Kind: event.AllowanceTaken, Pool: t.Pool, Detail: t.ID})
+		}
+	}
+	slices.Sort(s.zone.Taken)
+	s.zone.Taken = slices.DeleteFunc(s.zone.Taken, s.forgottenByGiver)
+	s.zone.Outgoing = slices.DeleteFunc(s.zone.Outgoing, func(t fleet.Transfer) bool {
+		return slices.Contains(s.view.Others[t.To].Taken, t.ID)
+	})
+}
+
+func (s *step) forgottenByGiver(id string) bool {
+	for _, other := range s.view.Others {
+		if slices.ContainsFunc(other.Outgoing, func(t fleet.Transfer) bool { return t.ID == id }) {
+			return false
+		}
+	}
+	return s.giverAdvanced(id)
+}
+
+// giverAdvanced reports whether the giver's record is visible at all, so that a missing transfer is surely settled.
+func (s *step) giverAdvanced(id string) bool {
+	for _, other := range s.view.Others {
+		var revision uint64
+		prefix := other.Name + "/"
+		if len(id) > len(prefix) && id[:len(prefix)] == prefix {
+			if _, err := fmt.Sscanf(id[len(prefix):], "%d", &revision); err == nil {
+				return other.Revision > revision
+			}
+		}
+	}
+	return false
+}
+
+// giveAllowances gives unused allowance to zones that ask for it.
+func (s *step) giveAllowances() {
+	for _, z := range s.view.Config.Zones {
+		other, known := s.view.Others[z.Name]
+		if !known {
+			continue
+		}
+		for _, pool := range other.Wants {
+			if slices.Contains(s.zone.Wants, pool) || s.pendingTransfer(pool, other.Name) {
+				continue
+			}
+			if s.granted(pool)-s.unavailable(pool)-s.pendingLeaves(pool) <= 0 {
+				continue
+			}
+			id := fmt.Sprintf("%s/%d/%s/%s", s.zone.Name, s.zone.Revision+1, other.Name, pool)
+			s.zone.Allowance(pool).Granted--
+			s.zone.Outgoing = append(s.zone.Outgoing, fleet.Transfer{ID: id, Pool: pool, To: other.Name})
+			s.note(event.Event{Kind: event.AllowanceGiven, Pool: pool, Detail: id})
+		}
+	}
+}
+
+func (s *step) pendingTransfer(pool, to string) bool {
+	return slices.ContainsFunc(s.zone.Outgoing, func(t fleet.Transfer) bool { return t.Pool == pool && t.To == to })
+}
+
+// pendingLeaves counts the instances of a pool that still have to leave in this zone.
+func (s *step) pendingLeaves(pool string) int {
+	pending := 0
+	for i := range s.zone.Instances {
+		instance := &s.zone.Instances[i]
+		if _, leaving := s.wantsLeave(instance); leaving && instance.Pool == pool && instance.State == fleet.Serving {
+			pending++
+		}
+	}
+	return min(pending, 1)
+}
+
+func (s *step) want(pool string) {
+	if !slices.Contains(s.zone.Wants, pool) {
+		s.zone.Wants = append(s.zone.Wants, pool)
+		slices.Sort(s.zone.Wants)
+	}
+}
--- /dev/null
+++ b/core/plan/plan.go
@@ -0,0 +1,337 @@
+package plan
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"daisysaddle/core/config"
+	"daisysaddle/core/event"
+	"daisysaddle/core/fleet"
+)
+
+// Report is what one sender last said about itself.
+type Report struct {
+	Sender       fleet.Sender
+	ZoneRevision uint64
+	InFlight     map[string]int // requests at each instance that takes no new work
+	Stopped      bool           // the sender has finished and will never send again
+}
+
+// Member is an entry that holds a lease or was heard by a peer.
+type Member struct {
+	Sender fleet.Sender
+}
+
+// View is all that a planning step may depend on.
+type View struct {
+	Config  *config.Config
+	Zone    fleet.Zone
+	Others  map[string]fleet.Zone // the newest record of each other zone
+	Members []Member
+	Reports []Report
+	Gone    map[string]bool // senders, by incarnation, that surely no longer run
+	Down    map[string]bool // instances that the platform's list or the entries' evidence call failed
+	Absent  map[string]bool // instances that the platform does not list as live
+	JobsOn  map[string]int  // jobs placed on each instance
+}
+
+// Rule names the condition that holds an action back.
+type Rule string
+
+// Rules that hold an action.
+const (
+	RuleAllowance Rule = "Allowance"
+	RuleFrozen    Rule = "Frozen"
+	RuleRack      Rule = "OneRack"
+	RuleWave      Rule = "WaveSize"
+	RuleAck       Rule = "Acknowledgement"
+	RuleInFlight  Rule = "InFlight"
+	RuleJobs      Rule = "Jobs"
+	RuleCapacity  Rule = "Capacity"
+)
+
+// Held is an action that waits, with the rule that holds it.
+type Held struct {
+	Instance string
+	Pool     string
+	Rule     Rule
+	Reason   string
+}
+
+// Decision is the outcome of a planning step.
+type Decision struct {
+	Zone    fleet.Zone
+	Changed bool
+	Held    []Held
+	Events  []event.Event
+}
+
+type step struct {
+	now    time.Time
+	view   View
+	policy Policy
+	zone   fleet.Zone
+	out    Decision
+	target map[string]int
+	budget map[string]int
+	leave  map[string]string // instance to Leave section
+	back   map[string]bool   // instance to the section's Return key
+}
+
+// Step decides the next record of the zone.
+func Step(now time.Time, v View, p Policy) Decision {
+	s := &step{now: now, view: v, policy: p, zone: v.Zone.Clone()}
+	s.target = fleet.Targets(v.Config, s.zone.Name)
+	s.budget = Budgets(v.Config)
+	s.leave, s.back = leaveSections(v.Config)
+	s.adoptConfig()
+	s.updateSenders()
+	s.updateFailures()
+	s.updateAllowances()
+	s.settleTransfers()
+	s.rejoin()
+	s.cancel()
+	s.progress()
+	s.fillPools()
+	s.startMoves()
+	s.startLeaves()
+	s.returnSpares()
+	s.giveAllowances()
+	s.out.Zone = s.zone
+	s.out.Changed = s.out.Changed || !equalRecords(v.Zone, s.zone)
+	return s.out
+}
+
+func equalRecords(a, b fleet.Zone) bool {
+	return a.ConfigRevision == b.ConfigRevision && slices.Equal(a.Wants, b.Wants) && slices.Equal(a.Taken, b.Taken) &&
+		slices.Equal(a.Outgoing, b.Outgoing) && slices.Equal(a.Allowances, b.Allowances)
+}
+
+func leaveSections(c *config.Config) (map[string]string, map[string]bool) {
+	sections := make(map[string]string)
+	for _, l := range c.Leaves {
+		for _, name := range l.Instances {
+			sections[name] = l.Name
+		}
+		for _, i := range c.Instances {
+			if slices.Contains(l.Racks, i.Zone+"/"+i.Rack) {
+				sections[i.Name] = l.Name
+			}
+		}
+	}
+	return sections, c.Leaving()
+}
+
+// change applies an event to an instance and records it.
+func (s *step) change(i *fleet.Instance, e fleet.Event, detail string) bool {
+	next, err := i.State.Apply(e)
+	if err != nil {
+		return false
+	}
+	i.State = next
+	i.Since = s.now
+	if next.Emptying() {
+		i.MarkRevision = s.zone.Revision + 1
+	}
+	s.note(event.Event{Kind: event.InstanceChanged, Instance: i.Name, Pool: i.Pool, Detail: fmt.Sprintf("%s: %s", next, detail)})
+	s.out.Changed = true
+	return true
+}
+
+func (s *step) note(e event.Event) {
+	e.Zone = s.zone.Name
+	e.Revision = s.zone.Revision + 1
+	s.out.Events = append(s.out.Events, e)
+}
+
+func (s *step) hold(i *fleet.Instance, r Rule, reason string) {
+	s.out.Held = append(s.out.Held, Held{Instance: i.Name, Pool: i.Pool, Rule: r, Reason: reason})
+}
+
+// adoptConfig adds the zone's new instances; an instance that the configuration dropped leaves first.
+func (s *step) adoptConfig() {
+	s.zone.ConfigRevision = max(s.zone.ConfigRevision, s.view.Config.Revision)
+	for _, c := range s.view.Config.Instances {
+		if c.Zone != s.zone.Name || s.zone.Find(c.Name) != nil {
+			continue
+		}
+		s.zone.Instances = append(s.zone.Instances, fleet.Instance{Name: c.Name, Pool: c.Pool, Home: c.Pool, State: fleet.Serving, Since: s.now})
+		s.note(event.Event{Kind: event.InstanceChanged, Instance: c.Name, Pool: c.Pool, Detail: "Serving: added by the configuration"})
+		s.out.Changed = true
+	}
+	s.zone.Instances = slices.DeleteFunc(s.zone.Instances, func(i fleet.Instance) bool {
+		c, known := s.view.Config.FindInstance(i.Name)
+		removed := (!known || c.Zone != s.zone.Name) && i.State == fleet.Returned
+		s.out.Changed = s.out.Changed || removed
+		return removed
+	})
+}
+
+// updateSenders adds members and removes senders that surely no longer run.
+func (s *step) updateSenders() {
+	for _, m := range s.view.Members {
+		if s.zone.HasSender(m.Sender.Name, m.Sender.Incarnation) || s.view.Gone[m.Sender.Incarnation] {
+			continue
+		}
+		s.zone.Senders = append(s.zone.Senders, m.Sender)
+		s.senderChanged(event.SenderAdded, m.Sender)
+	}
+	s.zone.Senders = slices.DeleteFunc(s.zone.Senders, func(sender fleet.Sender) bool {
+		if !s.view.Gone[sender.Incarnation] {
+			return false
+		}
+		s.senderChanged(event.SenderRemoved, sender)
+		return true
+	})
+}
+
+func (s *step) senderChanged(kind event.Kind, sender fleet.Sender) {
+	s.zone.RingRevision = s.zone.Revision + 1
+	s.out.Changed = true
+	s.note(event.Event{Kind: kind, Detail: sender.Name + " " + sender.Incarnation})
+}
+
+// updateFailures marks instances that failed or recovered and remembers when.
+func (s *step) updateFailures() {
+	for i := range s.zone.Instances {
+		instance := &s.zone.Instances[i]
+		down := s.view.Down[instance.Name]
+		if down && s.change(instance, fleet.Fail, "unplanned failure") {
+			s.zone.Failures = append(s.zone.Failures, s.now)
+		}
+		if !down && instance.State == fleet.Failed {
+			s.change(instance, fleet.Recover, "answers again")
+		}
+	}
+	limit := s.view.Config.Planner.FreezeFailures
+	if len(s.zone.Failures) > limit {
+		s.zone.Failures = s.zone.Failures[len(s.zone.Failures)-limit:]
+	}
+}
+
+func (s *step) frozen() bool {
+	recent := 0
+	for _, t := range s.zone.Failures {
+		if s.now.Sub(t) < s.view.Config.Planner.FreezePeriod {
+			recent++
+		}
+	}
+	return recent >= s.view.Config.Planner.FreezeFailures
+}
+
+// rejoin returns maintained instances to service.
+func (s *step) rejoin() {
+	for i := range s.zone.Instances {
+		instance := &s.zone.Instances[i]
+		if instance.State != fleet.Returned {
+			continue
+		}
+		absent := s.view.Absent[instance.Name] || s.view.Down[instance.Name]
+		if absent && !instance.Absent {
+			instance.Absent = true
+			s.out.Changed = true
+		}
+		section, listed := s.leave[instance.Name]
+		maintained := listed && s.back[instance.Name] && instance.Absent && !absent
+		withdrawn := !listed && !absent && s.inConfig(instance.Name)
+		if maintained || withdrawn {
+			instance.FinishedLeave = section
+			instance.Absent = false
+			instance.Pool = s.homeOf(instance)
+			instance.Home = instance.Pool
+			s.change(instance, fleet.Rejoin, "back in service")
+		}
+	}
+}
+
+func (s *step) inConfig(name string) bool {
+	c, known := s.view.Config.FindInstance(name)
+	return known && c.Zone == s.zone.Name
+}
+
+func (s *step) homeOf(i *fleet.Instance) string {
+	if c, known := s.view.Config.FindInstance(i.Name); known {
+		return c.Pool
+	}
+	return i.Pool
+}
+
+// wantsLeave reports whether the instance must leave, and why.
+func (s *step) wantsLeave(i *fleet.Instance) (string, bool) {
+	if !s.inConfig(i.Name) {
+		return "removed from the configuration", true
+	}
+	section, listed := s.leave[i.Name]
+	if !listed || i.FinishedLeave == section {
+		return "", false
+	}
+	return "named by Leave " + section, true
+}
+
+// cancel takes back marks that the configuration no longer asks for.
+func (s *step) cancel() {
+	for i := range s.zone.Instances {
+		instance := &s.zone.Instances[i]
+		_, leaving := s.wantsLeave(instance)
+		if instance.State == fleet.Leaving && !leaving {
+			s.change(instance, fleet.Cancel, "leave was withdrawn")
+		}
+		if instance.State == fleet.Moving && instance.Destination == instance.Pool {
+			s.change(instance, fleet.Cancel, "move was withdrawn")
+		}
+	}
+}
+
+// progress moves emptying instances on once nothing can reach them and nothing runs on them.
+func (s *step) progress() {
+	for i := range s.zone.Instances {
+		instance := &s.zone.Instances[i]
+		if instance.State == fleet.Drained {
+			s.change(instance, fleet.Return, "handed back")
+		}
+		if !instance.State.Emptying() || !s.empty(instance) {
+			continue
+		}
+		if instance.State == fleet.Moving {
+			s.assign(instance, instance.Destination, "moved from "+instance.Pool)
+			continue
+		}
+		s.change(instance, fleet.Drain, "empty")
+	}
+}
+
+func (s *step) assign(i *fleet.Instance, pool, detail string) {
+	i.Pool = pool
+	i.Destination = ""
+	s.zone.Moves++
+	if !s.change(i, fleet.Assign, detail) {
+		i.Since = s.now
+		s.note(event.Event{Kind: event.InstanceChanged, Instance: i.Name, Pool: pool, Detail: "Serving: " + detail})
+		s.out.Changed = true
+	}
+}
+
+// empty reports whether every sender acknowledged the mark and has nothing in flight, and no job is left.
+func (s *step) empty(i *fleet.Instance) bool {
+	if i.MarkRevision > s.zone.Revision {
+		return false
+	}
+	for _, sender := range s.zone.Senders {
+		at := slices.IndexFunc(s.view.Reports, func(r Report) bool { return r.Sender.Incarnation == sender.Incarnation })
+		switch {
+		case at >= 0 && s.view.Reports[at].Stopped:
+		case at < 0 || s.view.Reports[at].ZoneRevision < i.MarkRevision:
+			s.hold(i, RuleAck, "entry "+sender.Name+" has not acknowledged the mark")
+			return false
+		case s.view.Reports[at].InFlight[i.Name] > 0:
+			s.hold(i, RuleInFlight, fmt.Sprintf("entry %s has %d requests in flight", sender.Name, s.view.Reports[at].InFlight[i.Name]))
+			return false
+		}
+	}
+	if jobs := s.view.JobsOn[i.Name]; jobs > 0 {
+		s.hold(i, RuleJobs, fmt.Sprintf("%d jobs are still placed on the instance", jobs))
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/core/plan/wave.go
@@ -0,0 +1,214 @@
+package plan
+
+import (
+	"fmt"
+
+	"daisysaddle/core/config"
+	"daisysaddle/core/fleet"
+)
+
+// fillPools replaces missing instances from the spare pool.
+func (s *step) fillPools() {
+	for _, pool := range s.view.Config.Pools {
+		if pool.Spare {
+			continue
+		}
+		for s.shortage(pool.Name) > 0 {
+			spare := s.findSpare()
+			if spare == nil {
+				break
+			}
+			s.assign(spare, pool.Name, "replaces a missing instance from "+spare.Pool)
+		}
+	}
+}
+
+// shortage counts missing instances that will not come back by themselves soon.
+func (s *step) shortage(pool string) int {
+	missing := s.unavailable(pool)
+	for _, i := range s.zone.Instances {
+		if i.Home == pool && s.comesBack(i) {
+			missing--
+		}
+	}
+	return missing
+}
+
+func (s *step) comesBack(i fleet.Instance) bool {
+	if i.State == fleet.Moving && i.Pool == i.Home {
+		return false
+	}
+	if i.State == fleet.Failed {
+		return s.now.Sub(i.Since) < s.view.Config.Planner.ReplaceAfter
+	}
+	return s.back[i.Name] && !i.State.AcceptsWork()
+}
+
+func (s *step) spares() map[string]bool {
+	spares := make(map[string]bool)
+	for _, p := range s.view.Config.Pools {
+		spares[p.Name] = p.Spare
+	}
+	return spares
+}
+
+func (s *step) findSpare() *fleet.Instance {
+	spares := s.spares()
+	for i := range s.zone.Instances {
+		instance := &s.zone.Instances[i]
+		_, leaving := s.wantsLeave(instance)
+		if spares[instance.Pool] && instance.State == fleet.Serving && !leaving {
+			return instance
+		}
+	}
+	return nil
+}
+
+// startMoves follows changes of an instance's configured pool.
+func (s *step) startMoves() {
+	for i := range s.zone.Instances {
+		instance := &s.zone.Instances[i]
+		home := s.homeOf(instance)
+		if home == instance.Home || instance.State != fleet.Serving {
+			continue
+		}
+		if home == instance.Pool {
+			instance.Home = home
+			s.out.Changed = true
+			continue
+		}
+		if s.mayDisrupt(instance) {
+			instance.Home = home
+			s.startMove(instance, home, "configured pool changed")
+		}
+	}
+}
+
+func (s *step) startMove(i *fleet.Instance, pool, reason string) {
+	if s.spares()[i.Pool] {
+		s.assign(i, pool, reason)
+		return
+	}
+	i.Destination = pool
+	s.change(i, fleet.Move, reason)
+}
+
+// startLeaves marks instances as leaving, in the order of the policy.
+func (s *step) startLeaves() {
+	s.zone.Wants = nil
+	var candidates []Candidate
+	for i := range s.zone.Instances {
+		instance := &s.zone.Instances[i]
+		reason, leaving := s.wantsLeave(instance)
+		if !leaving || instance.State != fleet.Serving && instance.State != fleet.Failed {
+			continue
+		}
+		c, _ := s.view.Config.FindInstance(instance.Name)
+		candidates = append(candidates, Candidate{Instance: instance.Name, Rack: c.Rack, Pool: instance.Pool, Failed: instance.State == fleet.Failed, Return: s.back[instance.Name], Reason: reason})
+	}
+	s.policy.Order(candidates)
+	for _, c := range candidates {
+		s.startLeave(c)
+	}
+}
+
+func (s *step) startLeave(c Candidate) {
+	instance := s.zone.Find(c.Instance)
+	if c.Failed || s.spares()[instance.Pool] {
+		s.change(instance, fleet.Leave, c.Reason)
+		return
+	}
+	if !s.mayStart(instance, c) {
+		return
+	}
+	room := s.granted(c.Pool) - s.unavailable(c.Pool)
+	surge := !c.Return || s.budget[c.Pool] == 0 || s.policy.Surge(s.view.Config.Planner, room)
+	spare := s.findSpare()
+	if surge && spare != nil {
+		s.assign(spare, instance.Pool, "replaces "+instance.Name+" from "+spare.Pool)
+		s.change(instance, fleet.Leave, c.Reason)
+		return
+	}
+	if s.mayDisrupt(instance) {
+		s.change(instance, fleet.Leave, c.Reason)
+	}
+}
+
+// mayStart checks the limits on width that hold even when a replacement is at hand.
+func (s *step) mayStart(i *fleet.Instance, c Candidate) bool {
+	if s.frozen() {
+		s.hold(i, RuleFrozen, "too many unplanned failures lately")
+		return false
+	}
+	emptying := 0
+	for _, other := range s.zone.Instances {
+		if !other.State.Emptying() {
+			continue
+		}
+		emptying++
+		placed, _ := s.view.Config.FindInstance(other.Name)
+		if placed.Rack != c.Rack {
+			s.hold(i, RuleRack, fmt.Sprintf("rack %s is emptying; one rack of a zone at a time", placed.Rack))
+			return false
+		}
+	}
+	if emptying >= s.view.Config.Planner.WaveInstances {
+		s.hold(i, RuleWave, fmt.Sprintf("%d instances are emptying already", emptying))
+		return false
+	}
+	return true
+}
+
+// mayDisrupt checks that the pool can lose the instance within the zone's allowance.
+func (s *step) mayDisrupt(i *fleet.Instance) bool {
+	if s.frozen() {
+		s.hold(i, RuleFrozen, "too many unplanned failures lately")
+		return false
+	}
+	surplus := s.zone.Available()[i.Pool] - s.target[i.Pool]
+	if surplus > 0 || s.spares()[i.Pool] {
+		return true
+	}
+	granted := s.granted(i.Pool)
+	if s.unavailable(i.Pool)+1 <= granted {
+		return true
+	}
+	s.want(i.Pool)
+	s.hold(i, RuleAllowance, fmt.Sprintf("%d unavailable of an allowance of %d, and no spare instance", s.unavailable(i.Pool), granted))
+	return false
+}
+
+// returnSpares sends borrowed instances back to their pool when they are no longer needed.
+func (s *step) returnSpares() {
+	if !s.view.Config.Planner.ReturnSpares {
+		return
+	}
+	for i := range s.zone.Instances {
+		instance := &s.zone.Instances[i]
+		borrowed := instance.Pool != instance.Home && instance.State == fleet.Serving
+		_, leaving := s.wantsLeave(instance)
+		if !borrowed || leaving || s.homeOf(instance) != instance.Home {
+			continue
+		}
+		if s.zone.Available()[instance.Pool] > s.target[instance.Pool] && !s.awaited(instance.Pool) {
+			s.startMove(instance, instance.Home, "no longer needed in "+instance.Pool)
+		}
+	}
+}
+
+// awaited reports whether another instance of the pool is about to leave, so that a replacement would be needed again.
+func (s *step) awaited(pool string) bool {
+	return s.pendingLeaves(pool) > 0
+}
+
+// Budgets returns, for each pool, the number of instances that may be unavailable.
+func Budgets(c *config.Config) map[string]int {
+	sizes := c.PoolSizes()
+	budgets := make(map[string]int)
+	for _, p := range c.Pools {
+		if !p.Spare {
+			budgets[p.Name] = p.Budget.Limit(sizes[p.Name])
+		}
+	}
+	return budgets
+}
--- /dev/null
+++ b/core/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry decides whether, when and how often failed work is tried again.
+package retry
--- /dev/null
+++ b/core/route/doc.go
@@ -0,0 +1,3 @@
+// Package route chooses the target of a request and divides the slots of
+// targets among the entries of a zone.
+package route
--- /dev/null
+++ b/io/admin/publish.go
@@ -0,0 +1,54 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"daisysaddle/core/config"
+	"daisysaddle/io/entry"
+	"daisysaddle/io/store"
+)
+
+// Fetch reads the accepted configuration.
+func Fetch(ctx context.Context, c *store.Client) (config.Accepted, store.Record, error) {
+	var accepted config.Accepted
+	record, err := c.Get(ctx, entry.KeyConfig, store.Safety)
+	if err != nil || record.Revision == 0 {
+		return accepted, record, err
+	}
+	err = json.Unmarshal(record.Payload(), &accepted)
+	return accepted, record, errors.Wrap(err, "decode the accepted configuration")
+}
+
+// Publish merges files based on revision base into the accepted configuration and returns it.
+func Publish(ctx context.Context, c *store.Client, base uint64, files []config.File) (config.Accepted, error) {
+	operation := uuid.NewString()
+	for {
+		accepted, record, err := Fetch(ctx, c)
+		if err != nil {
+			return accepted, err
+		}
+		next, err := config.Publish(accepted, base, files, operation)
+		if err != nil {
+			return accepted, err
+		}
+		value, err := json.Marshal(next)
+		if err != nil {
+			return accepted, errors.Wrap(err, "encode the configuration")
+		}
+		_, outcome, err := c.Swap(ctx, record, value, "")
+		switch outcome {
+		case store.Applied:
+			return next, nil
+		case store.Conflicted:
+			if !errors.Is(err, store.ErrConflict) {
+				return accepted, err
+			}
+		case store.Unsettled:
+			return accepted, errors.Wrap(err, "it is not known whether the configuration was accepted; fetch it to see")
+		}
+	}
+}
--- /dev/null
+++ b/io/entry/control.go
@@ -0,0 +1,513 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"daisysaddle/core/config"
+	"daisysaddle/core/event"
+	"daisysaddle/core/fleet"
+	"daisysaddle/core/plan"
+	"daisysaddle/io/peer"
+	"daisysaddle/io/store"
+	"daisysaddle/io/wire"
+)
+
+// held is a record with the zone it decodes to.
+type held struct {
+	record store.Record
+	zone   fleet.Zone
+}
+
+// peerState is what this entry knows of another one.
+type peerState struct {
+	zone       string
+	sender     fleet.Sender
+	linked     bool
+	lastSeen   time.Time
+	config     uint64
+	zones      map[string]uint64
+	inFlight   map[string]int
+	stopped    bool
+	platformUp bool
+	failing    []string
+	behind     int // consecutive heartbeats with an older revision
+}
+
+// control owns the state of one entry; only its goroutine touches the fields.
+type control struct {
+	entry   *Entry
+	inbox   chan message
+	dropped atomic.Uint64
+	group   *errgroup.Group
+	ctx     context.Context
+
+	log          event.Log
+	configRecord store.Record
+	config       *config.Config
+	zones        map[string]held
+	leases       map[string]member // by key
+	lostLease    map[string]time.Time
+	peers        map[string]*peerState // by incarnation
+	listing      store.Listing
+	lease        string
+	platformUp   bool
+	platformSeen time.Time
+	planner      plannerState
+	stopping     bool
+	finished     bool
+	lastStatus   time.Time
+	lastFar      time.Time
+	heldBack     []plan.Held
+	settled      map[string]settlement
+	newlySettled bool
+	closed       chan struct{}                           // closed when run has returned
+	addresses    atomic.Pointer[map[netip.AddrPort]bool] // peers that hold a lease
+}
+
+// member is an entry that holds a lease.
+type member struct {
+	zone   string
+	sender fleet.Sender
+}
+
+// settlement remembers when a ring was acknowledged by all its nodes.
+type settlement struct {
+	key   string
+	since time.Time
+}
+
+func newControl(e *Entry) *control {
+	return &control{
+		entry:     e,
+		inbox:     make(chan message, inboxMessages),
+		log:       event.Log{Entry: e.settings.Name},
+		zones:     make(map[string]held),
+		leases:    make(map[string]member),
+		lostLease: make(map[string]time.Time),
+		peers:     make(map[string]*peerState),
+		settled:   make(map[string]settlement),
+		closed:    make(chan struct{}),
+	}
+}
+
+// send delivers a message to the control goroutine; it blocks only the platform and peer goroutines.
+func (c *control) send(m message) {
+	select {
+	case c.inbox <- m:
+	case <-c.closed:
+	}
+}
+
+// trafficEvent reports an event from a traffic goroutine; it is dropped when the inbox is full.
+func (c *control) trafficEvent(e event.Event) {
+	select {
+	case c.inbox <- eventHappened{e}:
+	default:
+		c.dropped.Add(1)
+	}
+}
+
+const tickPeriod = 50 * time.Millisecond
+
+// run processes messages until ctx ends.
+func (c *control) run(ctx context.Context) error {
+	c.group, c.ctx = errgroup.WithContext(ctx)
+	defer close(c.closed)
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	c.note(time.Now(), event.Event{Kind: event.EntryStarted})
+	for _, address := range c.entry.settings.Peers {
+		c.connect(address)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return c.finish()
+		case m := <-c.inbox:
+			c.handle(time.Now(), m)
+		case now := <-ticker.C:
+			c.tick(now)
+		}
+	}
+}
+
+// finish lets the goroutines end that still send messages.
+func (c *control) finish() error {
+	done := make(chan error, 1)
+	var waiter errgroup.Group
+	waiter.Go(func() error { done <- c.group.Wait(); return nil })
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-c.inbox:
+		}
+	}
+}
+
+func (c *control) note(now time.Time, e event.Event) {
+	if e.Zone == "" {
+		e.Zone = c.entry.settings.Zone
+	}
+	e = c.log.Add(now, e)
+	line := c.entry.log.Info().Str("Event", string(e.Kind)).Str("Zone", e.Zone)
+	for _, pair := range [][2]string{{"Instance", e.Instance}, {"Pool", e.Pool}, {"Request", e.Request}, {"Detail", e.Detail}} {
+		if pair[1] != "" {
+			line = line.Str(pair[0], pair[1])
+		}
+	}
+	line.Uint64("Revision", e.Revision).Msg("")
+}
+
+func (c *control) handle(now time.Time, m message) {
+	switch m := m.(type) {
+	case batchArrived:
+		c.adoptBatch(now, m.batch)
+	case platformChanged:
+		c.setPlatform(now, m.up)
+	case listArrived:
+		c.listing = m.listing
+	case leaseGranted:
+		c.lease = m.lease
+	case frameArrived:
+		c.handleFrame(now, m.from, m.frame)
+	case peerChanged:
+		c.setPeer(now, m)
+	case zoneWritten:
+		c.zoneWritten(now, m)
+	case electionEnded:
+		c.electionEnded(now, m)
+	case eventHappened:
+		c.note(now, m.event)
+	case stopRequested:
+		c.stopping = true
+		c.note(now, event.Event{Kind: event.EntryStopping})
+		c.publish(now)
+	case drained:
+		c.finished = true
+		c.sendStatus(now, true)
+		close(m.done)
+	case query:
+		m.run()
+		close(m.done)
+	}
+}
+
+// ask runs f on the control goroutine.
+func (c *control) ask(ctx context.Context, f func()) bool {
+	q := query{f, make(chan struct{})}
+	select {
+	case c.inbox <- q:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-q.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (c *control) setPlatform(now time.Time, up bool) {
+	if up {
+		c.platformSeen = now
+	}
+	if up == c.platformUp {
+		return
+	}
+	c.platformUp = up
+	kind := event.PlatformDown
+	if up {
+		kind = event.PlatformUp
+	}
+	c.note(now, event.Event{Kind: kind})
+}
+
+func (c *control) heartbeat() time.Duration {
+	if c.config != nil {
+		return c.config.Deployment.HeartbeatPeriod
+	}
+	return defaultHeartbeat
+}
+
+const (
+	defaultHeartbeat = 250 * time.Millisecond
+	farHeartbeats    = 4 // heartbeat periods between two heartbeats to another zone
+)
+
+func (c *control) tick(now time.Time) {
+	if now.Sub(c.lastStatus) >= c.heartbeat() {
+		far := now.Sub(c.lastFar) >= farHeartbeats*c.heartbeat()
+		c.sendStatus(now, far)
+	}
+	c.updateRings(now)
+	c.plan(now)
+}
+
+// adoptBatch takes over what the watch delivered.
+func (c *control) adoptBatch(now time.Time, b store.Batch) {
+	if b.Full {
+		c.forgetMissingLeases(now, b)
+	}
+	for _, r := range b.Records {
+		c.adoptRecord(now, r)
+	}
+	for _, key := range b.Deleted {
+		c.deleted(now, key)
+	}
+	c.publish(now)
+	c.sendStatus(now, false)
+}
+
+func (c *control) forgetMissingLeases(now time.Time, b store.Batch) {
+	present := make(map[string]bool)
+	for _, r := range b.Records {
+		present[r.Key] = true
+	}
+	for key := range c.leases {
+		if !present[key] {
+			c.deleted(now, key)
+		}
+	}
+	if !present[keyPlanner(c.entry.settings.Zone)] {
+		c.deleted(now, keyPlanner(c.entry.settings.Zone))
+	}
+}
+
+// adoptRecord takes over a record that is newer than the one in force.
+func (c *control) adoptRecord(now time.Time, r store.Record) {
+	zone, isEntry := zoneOfEntryKey(r.Key)
+	switch {
+	case r.Key == keyConfig:
+		c.adoptConfig(now, r)
+	case r.Key == keyPlanner(c.entry.settings.Zone):
+		c.planner.adopt(r)
+	case isEntry:
+		c.adoptMember(r, zone)
+	case len(r.Key) > len(prefixZone) && r.Key[:len(prefixZone)] == prefixZone:
+		c.adoptZone(now, r)
+	}
+}
+
+func (c *control) adoptConfig(now time.Time, r store.Record) {
+	if r.Revision <= c.configRecord.Revision {
+		return
+	}
+	var accepted config.Accepted
+	if err := json.Unmarshal(r.Payload(), &accepted); err != nil {
+		c.entry.log.Error().Str("Event", "RecordRefused").Str("Key", r.Key).Err(err).Msg("")
+		return
+	}
+	parsed, problems := config.Parse(accepted.Files, accepted.Revision)
+	if len(problems) > 0 {
+		c.entry.log.Error().Str("Event", "RecordRefused").Str("Key", r.Key).Err(config.JoinProblems(problems)).Msg("")
+		return
+	}
+	c.configRecord, c.config = r, parsed
+	c.note(now, event.Event{Kind: event.ConfigInForce, Revision: accepted.Revision})
+}
+
+func (c *control) adoptZone(now time.Time, r store.Record) {
+	var z fleet.Zone
+	if err := json.Unmarshal(r.Payload(), &z); err != nil {
+		c.entry.log.Error().Str("Event", "RecordRefused").Str("Key", r.Key).Err(err).Msg("")
+		return
+	}
+	if old := c.zones[z.Name]; r.Revision <= old.record.Revision || z.Revision < old.zone.Revision {
+		return
+	}
+	c.zones[z.Name] = held{r, z}
+	if z.Name == c.entry.settings.Zone {
+		c.note(now, event.Event{Kind: event.ZoneInForce, Revision: z.Revision})
+	}
+}
+
+func (c *control) adoptMember(r store.Record, zone string) {
+	var s fleet.Sender
+	if json.Unmarshal(r.Payload(), &s) != nil || s.Incarnation == "" {
+		return
+	}
+	_, known := c.leases[r.Key]
+	c.leases[r.Key] = member{zone, s}
+	delete(c.lostLease, s.Incarnation)
+	c.leasesChanged()
+	if !known && c.entry.self.Incarnation < s.Incarnation {
+		c.connect(s.PeerAddress)
+	}
+}
+
+// leasesChanged divides the call budget again and tells the dialling goroutines whom to keep.
+func (c *control) leasesChanged() {
+	c.entry.client.ShareBudget(len(c.leases))
+	addresses := make(map[netip.AddrPort]bool)
+	for _, m := range c.leases {
+		addresses[m.sender.PeerAddress] = true
+	}
+	c.addresses.Store(&addresses)
+}
+
+// connect keeps a link to a peer until its lease is gone; addresses from the settings are kept always.
+func (c *control) connect(address netip.AddrPort) {
+	c.group.Go(func() error {
+		c.entry.mesh.Connect(c.ctx, address, c.mayForget)
+		return nil
+	})
+}
+
+func (c *control) mayForget(address netip.AddrPort) bool {
+	known := c.addresses.Load()
+	return !slices.Contains(c.entry.settings.Peers, address) && known != nil && !(*known)[address]
+}
+
+// prunePeers forgets entries that are neither linked nor named by a record.
+func (c *control) prunePeers() {
+	named := make(map[string]bool)
+	for _, h := range c.zones {
+		for _, s := range h.zone.Senders {
+			named[s.Incarnation] = true
+		}
+	}
+	for _, m := range c.leases {
+		named[m.sender.Incarnation] = true
+	}
+	for id, p := range c.peers {
+		if !p.linked && !named[id] {
+			delete(c.peers, id)
+			delete(c.lostLease, id)
+		}
+	}
+}
+
+func (c *control) deleted(now time.Time, key string) {
+	if m, known := c.leases[key]; known {
+		delete(c.leases, key)
+		c.lostLease[m.sender.Incarnation] = now
+		c.leasesChanged()
+	}
+	if key == keyPlanner(c.entry.settings.Zone) {
+		c.planner.vacant(now)
+	}
+}
+
+func (c *control) setPeer(now time.Time, m peerChanged) {
+	p := c.peer(m.peer)
+	p.linked = m.up
+	if m.up {
+		p.lastSeen = now
+		c.sendStatus(now, true)
+	}
+	c.prunePeers()
+	c.publish(now)
+}
+
+func (c *control) peer(id peer.Identity) *peerState {
+	p := c.peers[id.Sender.Incarnation]
+	if p == nil {
+		p = &peerState{zone: id.Zone, sender: id.Sender, zones: make(map[string]uint64)}
+		c.peers[id.Sender.Incarnation] = p
+	}
+	return p
+}
+
+func (c *control) handleFrame(now time.Time, from peer.Identity, f *wire.Frame) {
+	switch body := f.GetBody().(type) {
+	case *wire.Frame_Status:
+		c.adoptStatus(now, from, body.Status)
+	case *wire.Frame_Record:
+		r := body.Record
+		c.adoptRecord(now, store.Record{Key: r.GetKey(), Revision: r.GetRevision(), Value: r.GetValue()})
+		c.publish(now)
+		c.sendStatus(now, false)
+	}
+}
+
+func (c *control) adoptStatus(now time.Time, from peer.Identity, s *wire.Status) {
+	stamp := event.Stamp{Wall: time.Unix(0, s.GetStamp().GetWallNanoseconds()).UTC(), Logical: s.GetStamp().GetLogical()}
+	c.log.Observe(stamp, now, maxClockAhead)
+	p := c.peer(from)
+	p.lastSeen = now
+	p.config = s.GetConfigRevision()
+	p.platformUp = s.GetPlatformUp()
+	p.stopped = p.stopped || s.GetStopped()
+	p.failing = s.GetFailing()
+	p.inFlight = make(map[string]int)
+	for _, f := range s.GetInFlight() {
+		p.inFlight[f.GetInstance()] = int(f.GetRequests())
+	}
+	for _, z := range s.GetZones() {
+		p.zones[z.GetZone()] = z.GetRevision()
+	}
+	c.passOn(p)
+}
+
+const (
+	maxClockAhead  = time.Minute
+	behindPatience = 3
+)
+
+// passOn sends a peer the records it lacks when the platform does not deliver them.
+func (c *control) passOn(p *peerState) {
+	var missing []store.Record
+	if c.config != nil && p.config < c.config.Revision {
+		missing = append(missing, c.configRecord)
+	}
+	for name, h := range c.zones {
+		if p.zones[name] < h.zone.Revision {
+			missing = append(missing, h.record)
+		}
+	}
+	if len(missing) == 0 {
+		p.behind = 0
+		return
+	}
+	p.behind++
+	if p.platformUp && p.behind < behindPatience {
+		return
+	}
+	for _, r := range missing {
+		record := &wire.Record{Key: r.Key, Revision: r.Revision, Value: r.Value}
+		c.entry.mesh.Send(p.sender.Incarnation, &wire.Frame{Body: &wire.Frame_Record{Record: record}})
+	}
+}
+
+// sendStatus sends a heartbeat to the peers of the zone and, when far is set, to all others.
+func (c *control) sendStatus(now time.Time, far bool) {
+	c.lastStatus = now
+	if far {
+		c.lastFar = now
+	}
+	frame := &wire.Frame{Body: &wire.Frame_Status{Status: c.status(now)}}
+	for _, p := range c.peers {
+		if p.linked && (far || p.zone == c.entry.settings.Zone) {
+			c.entry.mesh.Send(p.sender.Incarnation, frame)
+		}
+	}
+}
+
+func (c *control) status(now time.Time) *wire.Status {
+	stamp := c.log.Next(now)
+	s := &wire.Status{
+		Stamp:      &wire.Stamp{WallNanoseconds: stamp.Wall.UnixNano(), Logical: stamp.Logical},
+		PlatformUp: c.platformUp,
+		Stopped:    c.finished,
+		Failing:    c.entry.proxy.Failing(),
+	}
+	if c.config != nil {
+		s.ConfigRevision = c.config.Revision
+	}
+	for name, h := range c.zones {
+		s.Zones = append(s.Zones, &wire.ZoneRevision{Zone: name, Revision: h.zone.Revision})
+	}
+	for name, n := range c.entry.proxy.InFlight() {
+		s.InFlight = append(s.InFlight, &wire.InFlight{Instance: name, Requests: uint32(n)})
+	}
+	return s
+}
--- /dev/null
+++ b/io/entry/keys.go
@@ -0,0 +1,31 @@
+package entry
+
+import "strings"
+
+// Keys of the records at the platform.
+const (
+	keyConfig        = "config/accepted"
+	prefixZone       = "zone/"
+	prefixEntry      = "entry/"
+	prefixPlanner    = "planner/"
+	keySeparator     = "/"
+	entryKeyElements = 2
+)
+
+// KeyConfig is the key of the accepted configuration.
+const KeyConfig = keyConfig
+
+// KeyZone returns the key of a zone's record.
+func KeyZone(zone string) string { return prefixZone + zone }
+
+func keyEntry(zone, incarnation string) string {
+	return prefixEntry + zone + keySeparator + incarnation
+}
+
+func keyPlanner(zone string) string { return prefixPlanner + zone }
+
+// zoneOfEntryKey returns the zone in the key of an entry's lease.
+func zoneOfEntryKey(key string) (string, bool) {
+	parts := strings.SplitN(strings.TrimPrefix(key, prefixEntry), keySeparator, entryKeyElements)
+	return parts[0], strings.HasPrefix(key, prefixEntry) && len(parts) == entryKeyElements
+}
--- /dev/null
+++ b/io/entry/table.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"daisysaddle/core/config"
+	"daisysaddle/core/fleet"
+	"daisysaddle/core/route"
+	"daisysaddle/io/proxy"
+)
+
+// publish puts the newest configuration and zone record in force for the traffic goroutines.
+func (c *control) publish(now time.Time) {
+	if c.config == nil {
+		return
+	}
+	table := proxy.Table{
+		Ready:    c.ready(),
+		Policies: c.config.Policies,
+		Teams:    c.config.Teams,
+		Rings:    c.rings(now),
+		Window:   c.config.Deployment.IdempotencyRetry,
+		Skew:     c.config.Deployment.ClockError,
+	}
+	own := c.zones[c.entry.settings.Zone].zone
+	for _, p := range c.config.Pools {
+		service, found := c.config.FindService(p.Service)
+		if !found {
+			continue
+		}
+		table.Routes = append(table.Routes, proxy.Route{Service: service, Pool: p.Name, Targets: c.targets(own, p.Name), Spill: c.spillPeers()})
+	}
+	if err := c.entry.proxy.Update(now, table); err != nil {
+		c.entry.log.Error().Str("Event", "TableRefused").Err(err).Msg("")
+	}
+}
+
+// ready reports whether callers may send requests: the zone must count this entry among its senders.
+func (c *control) ready() bool {
+	own := c.zones[c.entry.settings.Zone].zone
+	if c.stopping || own.Revision == 0 {
+		return false
+	}
+	return own.HasSender(c.entry.self.Name, c.entry.self.Incarnation) || !c.platformUp && c.anyPeerLinked()
+}
+
+func (c *control) anyPeerLinked() bool {
+	for _, p := range c.peers {
+		if p.linked && p.zone == c.entry.settings.Zone {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *control) targets(own fleet.Zone, pool string) []proxy.TargetSpec {
+	senders := make([]string, len(own.Senders))
+	self := 0
+	for i, s := range own.Senders {
+		senders[i] = s.Incarnation
+		if s.Incarnation == c.entry.self.Incarnation {
+			self = i
+		}
+	}
+	instances := make(map[string]config.Instance, len(c.config.Instances))
+	for _, i := range c.config.Instances {
+		instances[i.Name] = i
+	}
+	var specs []proxy.TargetSpec
+	for _, i := range own.Instances {
+		placed, known := instances[i.Name]
+		if i.Pool != pool || !known {
+			continue
+		}
+		share := route.ShareSettings{Slots: placed.Slots, Entries: max(1, len(senders)), Index: self, Owner: route.Owner(senders, i.Name)}
+		specs = append(specs, proxy.TargetSpec{Instance: placed, Accepts: i.State.AcceptsWork(), Share: share})
+	}
+	return specs
+}
+
+const maxSpillPeers = 2
+
+// spillPeers returns linked entries of other zones, one a zone.
+func (c *control) spillPeers() []fleet.Sender {
+	byZone := make(map[string]fleet.Sender)
+	for _, p := range c.peers {
+		if !p.linked || p.stopped || p.zone == c.entry.settings.Zone {
+			continue
+		}
+		if best, found := byZone[p.zone]; !found || p.sender.Incarnation < best.Incarnation {
+			byZone[p.zone] = p.sender
+		}
+	}
+	var spill []fleet.Sender
+	for _, s := range byZone {
+		spill = append(spill, s)
+	}
+	slices.SortFunc(spill, func(a, b fleet.Sender) int { return strings.Compare(a.Incarnation, b.Incarnation) })
+	return spill[:min(len(spill), maxSpillPeers)]
+}
+
+const allZones = ""
+
+// rings returns the ring of each zone and of all zones together.
+func (c *control) rings(now time.Time) map[string]proxy.Ring {
+	rings := make(map[string]proxy.Ring)
+	var all []fleet.Sender
+	var names []string
+	for name := range c.zones {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		senders := c.zones[name].zone.Senders
+		rings[name] = c.ring(now, name, senders, []string{name})
+		all = append(all, senders...)
+	}
+	rings[allZones] = c.ring(now, allZones, all, names)
+	return rings
+}
+
+// ring decides whether every node of a ring has acknowledged the records that define it.
+func (c *control) ring(now time.Time, name string, nodes []fleet.Sender, zones []string) proxy.Ring {
+	var key strings.Builder
+	for _, n := range nodes {
+		key.WriteString(n.Incarnation + " ")
+	}
+	if !c.acknowledged(nodes, zones) {
+		if s := c.settled[name]; s.key == key.String() {
+			return proxy.Ring{Nodes: nodes, Settled: true, Since: s.since}
+		}
+		return proxy.Ring{Nodes: nodes}
+	}
+	if c.settled[name].key != key.String() {
+		c.settled[name] = settlement{key: key.String(), since: now}
+		c.newlySettled = true
+	}
+	return proxy.Ring{Nodes: nodes, Settled: true, Since: c.settled[name].since}
+}
+
+func (c *control) acknowledged(nodes []fleet.Sender, zones []string) bool {
+	for _, n := range nodes {
+		if n.Incarnation == c.entry.self.Incarnation {
+			continue
+		}
+		p := c.peers[n.Incarnation]
+		if p == nil {
+			return false
+		}
+		for _, z := range zones {
+			if p.zones[z] < c.zones[z].zone.RingRevision {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// updateRings publishes the table again when a ring has become settled.
+func (c *control) updateRings(now time.Time) {
+	c.newlySettled = false
+	c.rings(now)
+	if c.newlySettled {
+		c.publish(now)
+	}
+}
--- /dev/null
+++ b/io/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs writes one line of key=value pairs for each event.
+package logs
--- /dev/null
+++ b/io/proxy/exchange.go
@@ -0,0 +1,408 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"daisysaddle/core/eject"
+	"daisysaddle/core/event"
+	"daisysaddle/core/fleet"
+	"daisysaddle/core/once"
+	"daisysaddle/core/retry"
+)
+
+// exchange is one caller's request on its way through this entry.
+type exchange struct {
+	proxy      *Proxy
+	table      *Table
+	dispatcher *dispatcher
+	w          http.ResponseWriter
+	r          *http.Request
+	meta       meta
+	body       *body
+	claimed    bool
+	doubt      bool // an attempt may have run, so that NotRun would be false
+	capture    *capture
+	attempts   int
+}
+
+// run carries the request to its end.
+func (x *exchange) run() {
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.meta.deadline)
+	defer cancel()
+	// A caller that sends slowly is cut at its own deadline; connections without deadlines need none.
+	_ = http.NewResponseController(x.w).SetReadDeadline(x.meta.deadline)
+	if !x.meta.idempotent && x.meta.id != "" && !x.claim(ctx) {
+		return
+	}
+	if !x.table.Ready {
+		x.refuse(http.StatusServiceUnavailable, NotRun, ReasonNotReady, "the entry is starting or stopping")
+		return
+	}
+	var err error
+	if x.body, err = readBody(x.w, x.r); err != nil {
+		x.refuseBody(err)
+		return
+	}
+	x.dispatcher.mu.Lock()
+	x.dispatcher.retries.Attempt()
+	x.dispatcher.mu.Unlock()
+	x.runAttempts(ctx)
+}
+
+func (x *exchange) refuseBody(err error) {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		x.refuse(http.StatusRequestEntityTooLarge, NotRun, ReasonBodyTooLarge, "the body is larger than 64 MB")
+		return
+	}
+	x.refuse(http.StatusBadRequest, NotRun, ReasonBadRequest, "the body did not arrive whole")
+}
+
+// claim makes sure that this entry owns the id, and forwards the request when another one does.
+func (x *exchange) claim(ctx context.Context) bool {
+	owner, self, found := x.proxy.owners.find(x.meta.id)
+	switch {
+	case !found || !self && x.meta.hop == hopOwner:
+		x.refuse(http.StatusBadGateway, Unknown, ReasonOwnerUncertain, "it is not settled which entry owns this request id")
+		return false
+	case !self:
+		x.forwardToOwner(ctx, owner)
+		return false
+	}
+	answer, result := x.proxy.owners.begin(time.Now(), x.meta.id)
+	switch answer {
+	case once.Run:
+		x.claimed = true
+		x.capture = &capture{}
+		return true
+	case once.Finished:
+		x.replay(result)
+	case once.Running:
+		x.refuse(http.StatusConflict, Unknown, ReasonDuplicate, "another attempt with this request id is running")
+	case once.Uncertain:
+		x.refuse(http.StatusBadGateway, Unknown, ReasonOwnerUncertain, "an earlier owner of this request id may have run it")
+	}
+	x.dispatcher.count(func(c *Counters) { c.Duplicates++ })
+	return false
+}
+
+// forwardToOwner sends the request over the peer link, once.
+func (x *exchange) forwardToOwner(ctx context.Context, owner fleet.Sender) {
+	var err error
+	if x.body, err = readBody(x.w, x.r); err != nil {
+		x.refuseBody(err)
+		return
+	}
+	r := x.tryPeer(ctx, owner, hopOwner)
+	if r.response != nil {
+		x.pass(r.response)
+		return
+	}
+	x.refuse(http.StatusBadGateway, Unknown, ReasonOwnerUnreachable, "the entry that owns this request id does not answer")
+}
+
+// runAttempts tries targets until one answers or no further try is allowed.
+func (x *exchange) runAttempts(ctx context.Context) {
+	var avoid *target
+	last := result{outcome: NotRun}
+	for {
+		g, reason := x.dispatcher.acquire(ctx, x.meta, avoid)
+		if g == nil {
+			x.noTarget(ctx, reason, last)
+			return
+		}
+		x.attempts++
+		last = x.tryTarget(ctx, g)
+		if last.response != nil && last.outcome == Done {
+			x.finish(g, last)
+			return
+		}
+		x.settle(g, last)
+		avoid = g.target
+		if !x.mayRetry(last) {
+			x.failed(last)
+			return
+		}
+		x.discard(last)
+		if !pause(ctx, retryBackoff.Delay(x.attempts)) {
+			x.failed(result{outcome: last.outcome, err: ctx.Err()})
+			return
+		}
+	}
+}
+
+var retryBackoff = retry.Backoff{First: 2 * time.Millisecond, Most: 50 * time.Millisecond}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// tryTarget sends one attempt to the granted target.
+func (x *exchange) tryTarget(ctx context.Context, g *grant) result {
+	return x.try(ctx, g.target.pool, g.target.spec.Instance.Address.String(), "")
+}
+
+func (x *exchange) tryPeer(ctx context.Context, to fleet.Sender, h hop) result {
+	return x.try(ctx, x.proxy.peers.get(x.proxy.Links, to), to.Name, h)
+}
+
+func (x *exchange) try(ctx context.Context, pool *connPool, host string, h hop) result {
+	id := x.meta.id
+	if h == hopNone {
+		id = fmt.Sprintf("%s-%d", x.proxy.Self.Incarnation, x.proxy.attempts.Add(1))
+	}
+	a := &attempt{pool: pool, id: id, silence: x.dispatcher.silenceTimeout(), inform: x.inform}
+	a.request = x.outgoing(host, id, h)
+	r := a.do(ctx)
+	x.doubt = x.doubt || r.outcome == Unknown
+	return r
+}
+
+// truthful replaces NotRun by Unknown when an earlier attempt of this exchange may have run.
+func (x *exchange) truthful(o Outcome) Outcome {
+	if o == NotRun && x.doubt {
+		return Unknown
+	}
+	return o
+}
+
+// unclaimed reports whether another attempt with the same request id may have run elsewhere.
+func (x *exchange) unclaimed() bool {
+	return !x.claimed && !x.meta.idempotent && x.meta.id != ""
+}
+
+func (d *dispatcher) silenceTimeout() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.service.SilenceTimeout
+}
+
+// outgoing builds the request that goes to a target or peer.
+func (x *exchange) outgoing(host, attemptID string, h hop) *http.Request {
+	request := &http.Request{
+		Method: x.r.Method,
+		URL:    &url.URL{Scheme: "http", Host: host, Path: x.r.URL.Path, RawPath: x.r.URL.RawPath, RawQuery: x.r.URL.RawQuery},
+		Host:   x.r.Host,
+		Header: x.r.Header.Clone(),
+	}
+	removeHopHeaders(request.Header)
+	remaining := time.Until(x.meta.deadline)
+	request.Header.Set(HeaderTimeout, strconv.FormatFloat(max(remaining.Seconds(), 0.001), 'f', 3, 64))
+	request.Header.Set(HeaderService, x.meta.service)
+	request.Header.Del(headerHop)
+	if h == hopNone {
+		request.Header.Set(HeaderAttempt, attemptID)
+	} else {
+		request.Header.Set(headerHop, string(h))
+	}
+	if _, given := request.Header["User-Agent"]; !given {
+		request.Header["User-Agent"] = nil
+	}
+	x.body.attach(request)
+	return request
+}
+
+var hopHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
+
+// removeHopHeaders drops the headers that concern one connection only.
+func removeHopHeaders(h http.Header) {
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// settle returns the slot of an attempt that gave no answer to pass on.
+func (x *exchange) settle(g *grant, r result) {
+	e := evidenceBad
+	switch {
+	case r.silent:
+		e = evidenceNone
+		x.dispatcher.count(func(c *Counters) { c.Silent++ })
+		x.event(event.ConnectionSilent, g, fmt.Sprintf("connection given up, %d older idle ones closed", r.retired))
+	case r.outcome == NotRun && r.response != nil:
+		e = evidenceBusy
+	case x.r.Context().Err() != nil:
+		e = evidenceNone
+	}
+	x.release(g, e)
+}
+
+func (x *exchange) release(g *grant, e evidence) {
+	verdict, changed := x.dispatcher.release(g, time.Now(), e)
+	if !changed {
+		return
+	}
+	kinds := map[eject.Verdict]event.Kind{eject.Ejected: event.TargetEjected, eject.OnTrial: event.TargetTrial, eject.Healthy: event.TargetReadmitted}
+	x.event(kinds[verdict], g, "")
+}
+
+func (x *exchange) event(kind event.Kind, g *grant, detail string) {
+	e := event.Event{Kind: kind, Zone: x.proxy.Zone, Request: x.meta.id, Detail: detail}
+	if g != nil {
+		e.Instance = g.target.spec.Instance.Name
+	}
+	x.proxy.Events(e)
+}
+
+func (x *exchange) mayRetry(r result) bool {
+	t := retry.Try{
+		Attempts:   x.attempts,
+		NotRun:     r.outcome == NotRun,
+		Idempotent: x.meta.idempotent,
+		Replayable: x.body.replayable(),
+		Deadline:   x.meta.deadline,
+		Expected:   x.dispatcher.expected(),
+	}
+	return x.r.Context().Err() == nil && t.Allowed(time.Now()) && x.dispatcher.takeRetry()
+}
+
+func (x *exchange) discard(r result) {
+	if r.response != nil {
+		_ = r.response.Body.Close() // the answer is a refusal without use
+	}
+}
+
+// finish passes on a target's answer.
+func (x *exchange) finish(g *grant, r result) {
+	whole := x.pass(r.response)
+	e := evidenceGood
+	switch {
+	case r.response.StatusCode >= http.StatusInternalServerError:
+		e = evidenceBad
+	case !whole && x.r.Context().Err() != nil:
+		e = evidenceNone
+	case !whole:
+		e = evidenceBad
+	}
+	x.release(g, e)
+	if !whole {
+		x.event(event.RequestUnknown, g, "the answer was cut")
+		panic(http.ErrAbortHandler) // the only way to tell the caller that an answer that began is not whole
+	}
+}
+
+// failed tells the caller about an attempt that gave no answer.
+func (x *exchange) failed(r result) {
+	x.discard(r)
+	if x.truthful(r.outcome) == NotRun {
+		x.refuse(http.StatusServiceUnavailable, NotRun, ReasonTargetFailed, "no target took the request")
+		return
+	}
+	status := http.StatusBadGateway
+	if errors.Is(r.err, context.DeadlineExceeded) {
+		status = http.StatusGatewayTimeout
+	}
+	x.event(event.RequestUnknown, nil, fmt.Sprint(r.err))
+	x.refuse(status, Unknown, ReasonTargetFailed, "a target may have carried out the request")
+}
+
+// noTarget refuses a request that got no slot, or spills it to another zone.
+func (x *exchange) noTarget(ctx context.Context, reason Reason, last result) {
+	if x.doubt && !x.meta.idempotent {
+		x.failed(result{outcome: Unknown, err: last.err})
+		return
+	}
+	if x.spill(ctx, reason) {
+		return
+	}
+	x.refuse(http.StatusServiceUnavailable, NotRun, reason, "the request was not sent to a target")
+}
+
+// spill forwards a request that found no room to an entry of another zone.
+func (x *exchange) spill(ctx context.Context, reason Reason) bool {
+	may := reason == ReasonNoTarget || reason == ReasonQueueFull || reason == ReasonDeadline
+	if !may || x.meta.hop != hopNone || ctx.Err() != nil || !x.body.replayable() {
+		return false
+	}
+	for _, to := range x.table.spill[x.meta.service] {
+		x.dispatcher.count(func(c *Counters) { c.Spills++ })
+		r := x.tryPeer(ctx, to, hopSpill)
+		switch {
+		case r.response != nil && r.outcome == Done || r.response != nil && r.response.Header.Get(HeaderOutcome) == string(Unknown):
+			if !x.pass(r.response) {
+				panic(http.ErrAbortHandler) // the answer that began is not whole
+			}
+			return true
+		case r.outcome == Unknown && !x.meta.idempotent:
+			x.failed(r)
+			return true
+		}
+		x.discard(r)
+		if ctx.Err() != nil || !x.body.replayable() {
+			return false
+		}
+	}
+	return false
+}
+
+// refuse answers a request without a target's answer.
+func (x *exchange) refuse(status int, o Outcome, reason Reason, text string) {
+	o = x.truthful(o)
+	if x.unclaimed() {
+		o = Unknown
+	}
+	x.end(once.Result{Outcome: string(o), Status: status})
+	x.countOutcome(o)
+	h := x.w.Header()
+	h.Set(HeaderOutcome, string(o))
+	h.Set(HeaderReason, string(reason))
+	if status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", strconv.Itoa(x.retryAfter()))
+	}
+	http.Error(x.w, fmt.Sprintf("Outcome=%s Reason=%s: %s", o, reason, text), status)
+}
+
+// retryAfter returns the whole seconds after which a queue of the present length is served.
+func (x *exchange) retryAfter() int {
+	if x.dispatcher == nil {
+		return 1
+	}
+	x.dispatcher.mu.Lock()
+	defer x.dispatcher.mu.Unlock()
+	wait := x.dispatcher.pace.Wait(x.dispatcher.queue.Len(), x.dispatcher.slots())
+	return max(1, int(math.Ceil(wait.Seconds())))
+}
+
+func (x *exchange) countOutcome(o Outcome) {
+	if x.dispatcher == nil {
+		return
+	}
+	x.dispatcher.count(func(c *Counters) {
+		switch o {
+		case Done:
+			c.Done++
+		case NotRun:
+			c.NotRun++
+		case Unknown:
+			c.Unknown++
+		}
+	})
+}
+
+// end records the outcome under the claimed request id.
+func (x *exchange) end(r once.Result) {
+	if x.claimed {
+		x.proxy.owners.end(x.meta.id, r)
+	}
+}
--- /dev/null
+++ b/io/stand/doc.go
@@ -0,0 +1,3 @@
+// Package stand provides small stand-ins for the platform, targets and callers,
+// for demonstrations and tests.
+package stand
--- /dev/null
+++ b/io/store/http.go
@@ -0,0 +1,145 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// HTTP is the backend that speaks JSON over HTTP.
+type HTTP struct {
+	base   string
+	client *http.Client
+}
+
+// SwapRequest is the body of a compare-and-swap call.
+type SwapRequest struct {
+	Value  []byte
+	Expect uint64
+	Lease  string
+	Delete bool
+}
+
+// LeaseAnswer is the body of the answer to a lease call.
+type LeaseAnswer struct {
+	Lease string
+}
+
+const (
+	maxIdlePlatformConns  = 8
+	platformIdleTimeout   = 30 * time.Second
+	maxPlatformAnswerSize = 64 << 20
+)
+
+// NewHTTP returns a backend for the platform at address.
+func NewHTTP(address netip.AddrPort) *HTTP {
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdlePlatformConns, IdleConnTimeout: platformIdleTimeout}
+	return &HTTP{base: "http://" + address.String() + "/v1", client: &http.Client{Transport: transport}}
+}
+
+// Get reads one key.
+func (h *HTTP) Get(ctx context.Context, key string) (Record, error) {
+	var r Record
+	err := h.call(ctx, http.MethodGet, "/key/"+url.PathEscape(key), nil, &r)
+	r.Key = key
+	return r, err
+}
+
+// Swap writes a key if its revision is still expect.
+func (h *HTTP) Swap(ctx context.Context, next Record, expect uint64) (Record, error) {
+	var r Record
+	body := SwapRequest{Value: next.Value, Expect: expect, Lease: next.Lease}
+	err := h.call(ctx, http.MethodPut, "/key/"+url.PathEscape(next.Key), body, &r)
+	return r, err
+}
+
+// Delete removes a key if its revision is still expect.
+func (h *HTTP) Delete(ctx context.Context, key string, expect uint64) error {
+	return h.call(ctx, http.MethodPut, "/key/"+url.PathEscape(key), SwapRequest{Expect: expect, Delete: true}, nil)
+}
+
+// Grant makes a lease.
+func (h *HTTP) Grant(ctx context.Context, duration time.Duration) (string, error) {
+	var a LeaseAnswer
+	err := h.call(ctx, http.MethodPost, "/lease?duration="+duration.String(), nil, &a)
+	return a.Lease, err
+}
+
+// Renew extends a lease by its duration.
+func (h *HTTP) Renew(ctx context.Context, lease string) error {
+	return h.call(ctx, http.MethodPost, "/lease/"+lease, nil, nil)
+}
+
+// Revoke ends a lease and deletes its keys.
+func (h *HTTP) Revoke(ctx context.Context, lease string) error {
+	return h.call(ctx, http.MethodDelete, "/lease/"+lease, nil, nil)
+}
+
+// Watch waits until a key changes after the given revision.
+func (h *HTTP) Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error) {
+	var b Batch
+	err := h.call(ctx, http.MethodGet, fmt.Sprintf("/watch?after=%d&wait=%s", after, wait), nil, &b)
+	return b, err
+}
+
+// List reads the list of instances.
+func (h *HTTP) List(ctx context.Context) (Listing, error) {
+	var l Listing
+	err := h.call(ctx, http.MethodGet, "/instances", nil, &l)
+	return l, err
+}
+
+func (h *HTTP) call(ctx context.Context, method, path string, body, answer any) error {
+	var payload io.Reader
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return errors.Wrap(err, "encode platform call")
+		}
+		payload = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, h.base+path, payload)
+	if err != nil {
+		return errors.Wrap(err, "make platform call")
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return errors.Mark(errors.Wrapf(err, "%s %s", method, path), ErrUnavailable)
+	}
+	defer response.Body.Close()
+	if err := statusError(response.StatusCode); err != nil {
+		return errors.Wrapf(err, "%s %s: status %d", method, path, response.StatusCode)
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxPlatformAnswerSize)).Decode(answer); err != nil {
+		return errors.Mark(errors.Wrapf(err, "%s %s: decode answer", method, path), ErrUnavailable)
+	}
+	return nil
+}
+
+func statusError(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return ErrConflict
+	case http.StatusTooManyRequests:
+		return ErrRateLimited
+	case http.StatusGone:
+		return ErrNoLease
+	case http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	default:
+		return ErrUnavailable
+	}
+}
--- /dev/null
+++ b/io/trial/summary.go
@@ -0,0 +1,177 @@
+package trial
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"daisysaddle/core/audit"
+	"daisysaddle/core/event"
+)
+
+// Summary is the result of a trial.
+type Summary struct {
+	Deployment       string
+	Seed             uint64
+	Duration         time.Duration
+	Done             int
+	NotRun           int
+	Unknown          int
+	Cut              int
+	Executions       int
+	Reasons          map[string]int // refusals by outcome and reason
+	Violations       map[audit.Promise]int
+	Details          []string
+	BufferCost       float64 // idle slot-seconds in spare pools
+	RollOutTime      time.Duration
+	Unfinished       int // retirements and moves that did not end
+	Moves            uint64
+	ConfigInForce    time.Duration // slowest entry
+	LastNewWork      time.Duration // longest time from a mark to the last new request
+	P50, P99, P999   time.Duration
+	OverSubscription int64
+}
+
+const (
+	highestLatency = int64(time.Minute / time.Microsecond)
+	latencyDigits  = 3
+	maxDetails     = 20
+)
+
+func (t *Trial) summarize(begin, end time.Time) Summary {
+	t.recorder.Change(func(h *audit.History) {
+		h.InForce = forceEvents(event.Merge(dedupe(t.log)))
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		for _, r := range t.entries {
+			h.Lifetimes = append(h.Lifetimes, r.lifetime)
+		}
+	})
+	h := t.recorder.History()
+	violations := audit.Check(h)
+	s := Summary{Deployment: t.options.Deployment, Seed: t.options.Seed, Duration: end.Sub(begin), Executions: len(h.Executions), Violations: audit.Count(violations), ConfigInForce: audit.SlowestConfig(h), LastNewWork: audit.LastNewWork(h)}
+	for _, v := range violations[:min(len(violations), maxDetails)] {
+		s.Details = append(s.Details, fmt.Sprintf("%s: %s", v.Promise, v.Detail))
+	}
+	s.RollOutTime, s.Unfinished = rollOut(h.Versions)
+	s.BufferCost = t.bufferCost(h, begin, end)
+	s.countCalls(h.Calls)
+	last := make(map[string]uint64)
+	for _, v := range h.Versions {
+		last[v.Zone.Name] = v.Zone.Moves
+	}
+	for _, n := range last {
+		s.Moves += n
+	}
+	for _, target := range t.targets {
+		s.OverSubscription += target.OverSubscribed()
+	}
+	return s
+}
+
+// dedupe removes events that were collected twice.
+func dedupe(events []event.Event) []event.Event {
+	type key struct {
+		stamp event.Stamp
+		entry string
+	}
+	seen := make(map[key]bool)
+	var unique []event.Event
+	for _, e := range events {
+		k := key{e.Stamp, e.Entry}
+		if !seen[k] {
+			seen[k] = true
+			unique = append(unique, e)
+		}
+	}
+	return unique
+}
+
+func (s *Summary) countCalls(calls []audit.Call) {
+	s.Reasons = make(map[string]int)
+	latencies := hdrhistogram.New(1, highestLatency, latencyDigits)
+	for _, c := range calls {
+		if c.Reason != "" {
+			s.Reasons[c.Outcome+"."+c.Reason]++
+		}
+		switch c.Outcome {
+		case "Done":
+			s.Done++
+			_ = latencies.RecordValue(int64(c.Ended.Sub(c.Sent) / time.Microsecond)) // values out of range do not occur under the deadline
+		case "NotRun":
+			s.NotRun++
+		case "Unknown":
+			s.Unknown++
+		default:
+			s.Cut++
+		}
+	}
+	at := func(q float64) time.Duration {
+		return time.Duration(latencies.ValueAtQuantile(q)) * time.Microsecond
+	}
+	s.P50, s.P99, s.P999 = at(50), at(99), at(99.9)
+}
+
+// bufferCost integrates the slots of serving spare instances over time.
+func (t *Trial) bufferCost(h audit.History, begin, end time.Time) float64 {
+	cost := 0.0
+	slots := make(map[string]float64)
+	since := make(map[string]time.Time)
+	settle := func(zone string, at time.Time) {
+		if from := since[zone]; !from.IsZero() && at.After(from) {
+			cost += slots[zone] * at.Sub(from).Seconds()
+		}
+	}
+	for _, v := range h.Versions {
+		at := v.At
+		if at.Before(begin) {
+			at = begin
+		}
+		settle(v.Zone.Name, at)
+		since[v.Zone.Name] = at
+		slots[v.Zone.Name] = 0
+		for _, i := range v.Zone.Instances {
+			p, _ := t.config.FindPool(i.Pool)
+			placed, _ := t.config.FindInstance(i.Name)
+			if p.Spare && i.State.AcceptsWork() {
+				slots[v.Zone.Name] += float64(placed.Slots)
+			}
+		}
+	}
+	for zone := range since {
+		settle(zone, end)
+	}
+	return cost
+}
+
+// Broken reports whether any promise was broken.
+func (s Summary) Broken() bool {
+	for _, n := range s.Violations {
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Write prints the summary as key=value lines.
+func (s Summary) Write(w io.Writer) {
+	fmt.Fprintf(w, "Deployment=%s Seed=%d Duration=%s\n", s.Deployment, s.Seed, s.Duration.Round(time.Millisecond))
+	fmt.Fprintf(w, "Done=%d NotRun=%d Unknown=%d Cut=%d Executions=%d\n", s.Done, s.NotRun, s.Unknown, s.Cut, s.Executions)
+	for _, reason := range slices.Sorted(maps.Keys(s.Reasons)) {
+		fmt.Fprintf(w, "Refusal=%s Count=%d\n", reason, s.Reasons[reason])
+	}
+	for _, p := range audit.Promises {
+		fmt.Fprintf(w, "Promise=%s Violations=%d\n", p, s.Violations[p])
+	}
+	for _, d := range s.Details {
+		fmt.Fprintf(w, "Violation=%q\n", d)
+	}
+	fmt.Fprintf(w, "BufferCost=%.0f RollOutTime=%s Unfinished=%d Moves=%d\n", s.BufferCost, s.RollOutTime.Round(time.Millisecond), s.Unfinished, s.Moves)
+	fmt.Fprintf(w, "ConfigInForce=%s LastNewWork=%s OverSubscription=%d\n", s.ConfigInForce.Round(time.Millisecond), s.LastNewWork.Round(time.Millisecond), s.OverSubscription)
+	fmt.Fprintf(w, "LatencyP50=%s LatencyP99=%s LatencyP999=%s\n", s.P50, s.P99, s.P999)
+}
