Divide slots statically and spill what would wait, by measurement

Cause: a pool that lost capacity in one zone queued there while other entries had free slots; and entries that all used every slot of a target made it refuse.

The checker called a configuration late that was in force before its publisher learnt so; a test now holds both cases. Conclusion: static shares with spilling are the default, the others stay.

--- a/cmd/daisysaddle/main.go
+++ b/cmd/daisysaddle/main.go
@@ -25,6 +25,7 @@
 	Explain   explainCommand   `cmd:"" help:"Show the decisions on one instance or request."`
 	Timeline  timelineCommand  `cmd:"" help:"Show the events of all entries in causal order."`
 	Try       tryCommand       `cmd:"" help:"Run a whole deployment on loopback with faults and check it."`
+	Measure   measureCommand   `cmd:"" help:"Measure policies and print a line of key=value pairs for each run."`
 	Standin   standinCommand   `cmd:"" help:"Run a stand-in of an outside system."`
 }
 
--- a/cmd/daisysaddle/run.go
+++ b/cmd/daisysaddle/run.go
@@ -115,6 +115,7 @@
 	Deployment string `help:"Shipped example to run." enum:"sicily,nortechico" default:"sicily"`
 	JSON       bool   `help:"Print the summary as one JSON object."`
 	Logs       bool   `help:"Print the entries' logs."`
+	History    string `help:"File to write the recorded history to, as JSON." type:"path"`
 	Override   string `help:"INI file that is merged over the example." type:"existingfile"`
 }
 
@@ -132,6 +133,14 @@
 		}
 		options.Override = string(text)
 	}
+	if c.History != "" {
+		file, err := os.Create(c.History)
+		if err != nil {
+			return errors.Wrap(err, "create the history file")
+		}
+		defer file.Close()
+		options.History = file
+	}
 	summary, err := trial.Run(env.ctx, options)
 	if err != nil {
 		return err
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -12,8 +12,7 @@
 	Urgent   bool
 	Arrived  time.Time
 	Deadline time.Time
-	Ready    chan struct{} // closed when the request was admitted or refused
-	Value    any           // what waits
+	Value    any // what waits
 
 	queued bool
 }
--- a/core/audit/audit_test.go
+++ b/core/audit/audit_test.go
@@ -101,6 +101,11 @@
 			Versions:   []Version{version(1, 1, fleet.Serving), version(2, 2, fleet.Leaving)},
 			Executions: []Execution{{Nonce: "n", Instance: "a", Started: at(4)}},
 		}},
+		{"configuration in force before its publisher knows", History{
+			Configs:   []Accepted{{At: at(2), Config: poolConfig(1)}},
+			Lifetimes: []Lifetime{{Entry: "e", Start: at(0)}},
+			InForce:   []InForce{{At: at(1), Entry: "e", Revision: 1}},
+		}},
 		{"kept answer", History{Calls: []Call{{Nonce: "n", Outcome: "Done", Answer: "first", Replayed: true}}}},
 	}
 	for _, c := range cases {
--- a/core/config/schema.go
+++ b/core/config/schema.go
@@ -174,7 +174,7 @@
 var policyFields = []field[Policies]{
 	textField("Admission", "FairQueue", "order in which waiting requests are admitted", func(p *Policies) *string { return &p.Admission }),
 	textField("Routing", "LeastLoaded", "choice of target for a request", func(p *Policies) *string { return &p.Routing }),
-	textField("Sharing", "Optimistic", "division of target slots among the entries of a zone", func(p *Policies) *string { return &p.Sharing }),
+	textField("Sharing", "Static", "division of target slots among the entries of a zone", func(p *Policies) *string { return &p.Sharing }),
 	textField("Planner", "Weighted", "order and width of retirements", func(p *Policies) *string { return &p.Planner }),
 }
 
@@ -195,7 +195,7 @@
 
 var serviceFields = []field[Service]{
 	durationField("Deadline", 5*time.Second, time.Millisecond, time.Hour, "deadline of a request that names none", func(s *Service) *time.Duration { return &s.Deadline }),
-	countField("QueueLimit", "requests", 200, 0, 1<<20, "requests that may wait at one entry", func(s *Service) *int { return &s.QueueLimit }),
+	countField("QueueLimit", "requests", 1000, 0, 1<<20, "requests that may wait at one entry", func(s *Service) *int { return &s.QueueLimit }),
 	percentField("UrgentShare", 50, "share of slots that urgent requests may take before others", func(s *Service) *int { return &s.UrgentShare }),
 	percentField("RetryShare", 10, "retries allowed for each hundred first attempts", func(s *Service) *int { return &s.RetryShare }),
 	durationField("SilenceTimeout", 2*time.Second, 50*time.Millisecond, time.Hour, "time without a byte after which a reused connection is suspected", func(s *Service) *time.Duration { return &s.SilenceTimeout }),
--- a/core/eject/eject.go
+++ b/core/eject/eject.go
@@ -132,6 +132,17 @@
 	return (out+1)*maxShare <= max(len(g.Targets), maxShare) && len(g.Targets) > 1
 }
 
+// Suspect reports whether most targets fail, so that another observer may see better ones.
+func (g *Group) Suspect() bool {
+	failing := 0
+	for _, t := range g.Targets {
+		if t.Verdict() != Healthy || t.bad() {
+			failing++
+		}
+	}
+	return failing*2 > len(g.Targets)
+}
+
 // Usable reports whether a request may be sent to the target now, which for an ejected one starts a trial.
 func (g *Group) Usable(now time.Time, t *Target) bool {
 	switch t.Verdict() {
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -248,6 +248,7 @@
 		far := now.Sub(c.lastFar) >= farHeartbeats*c.heartbeat()
 		c.sendStatus(now, far)
 	}
+	c.entry.proxy.Poll(now)
 	c.updateRings(now)
 	c.plan(now)
 }
--- a/io/entry/table.go
+++ b/io/entry/table.go
@@ -80,25 +80,19 @@
 	return specs
 }
 
-const maxSpillPeers = 2
-
-// spillPeers returns linked entries of other zones, one a zone.
-func (c *control) spillPeers() []fleet.Sender {
-	byZone := make(map[string]fleet.Sender)
+// spillPeers returns the linked entries that may take requests of this one.
+func (c *control) spillPeers() proxy.Spill {
+	var spill proxy.Spill
 	for _, p := range c.peers {
-		if !p.linked || p.stopped || p.zone == c.entry.settings.Zone {
-			continue
+		switch {
+		case !p.linked || p.stopped:
+		case p.zone == c.entry.settings.Zone:
+			spill.Near = append(spill.Near, p.sender)
+		default:
+			spill.Far = append(spill.Far, p.sender)
 		}
-		if best, found := byZone[p.zone]; !found || p.sender.Incarnation < best.Incarnation {
-			byZone[p.zone] = p.sender
-		}
-	}
-	var spill []fleet.Sender
-	for _, s := range byZone {
-		spill = append(spill, s)
 	}
-	slices.SortFunc(spill, func(a, b fleet.Sender) int { return strings.Compare(a.Incarnation, b.Incarnation) })
-	return spill[:min(len(spill), maxSpillPeers)]
+	return spill
 }
 
 const allZones = ""
--- a/io/proxy/exchange.go
+++ b/io/proxy/exchange.go
@@ -15,6 +15,7 @@
 	"daisysaddle/core/eject"
 	"daisysaddle/core/event"
 	"daisysaddle/core/fleet"
+	"daisysaddle/core/flow"
 	"daisysaddle/core/once"
 	"daisysaddle/core/retry"
 )
@@ -40,7 +41,7 @@
 	defer cancel()
 	// A caller that sends slowly is cut at its own deadline; connections without deadlines need none.
 	_ = http.NewResponseController(x.w).SetReadDeadline(x.meta.deadline)
-	if !x.meta.idempotent && x.meta.id != "" && !x.claim(ctx) {
+	if x.unclaimed() && !x.claim(ctx) {
 		return
 	}
 	if !x.table.Ready {
@@ -52,9 +53,7 @@
 		x.refuseBody(err)
 		return
 	}
-	x.dispatcher.mu.Lock()
-	x.dispatcher.retries.Attempt()
-	x.dispatcher.mu.Unlock()
+	x.dispatcher.attempt()
 	x.runAttempts(ctx)
 }
 
@@ -112,16 +111,15 @@
 
 // runAttempts tries targets until one answers or no further try is allowed.
 func (x *exchange) runAttempts(ctx context.Context) {
-	var avoid *target
-	last := result{outcome: NotRun}
+	var avoid *flow.Target
 	for {
-		g, reason := x.dispatcher.acquire(ctx, x.meta, avoid)
+		g, reason := x.acquire(ctx, avoid)
 		if g == nil {
-			x.noTarget(ctx, reason, last)
+			x.noTarget(ctx, reason)
 			return
 		}
 		x.attempts++
-		last = x.tryTarget(ctx, g)
+		last := x.tryTarget(ctx, g)
 		if last.response != nil && last.outcome == Done {
 			x.finish(g, last)
 			return
@@ -140,6 +138,33 @@
 	}
 }
 
+// acquire gets a target, spills the request when it would wait long, or lets it wait.
+func (x *exchange) acquire(ctx context.Context, avoid *flow.Target) (*grant, Reason) {
+	decided := make(chan admission, 1)
+	r := &flow.Request{
+		Team: x.meta.team, Urgent: x.meta.urgent, Deadline: x.meta.deadline, Avoid: avoid,
+		NoQueue:  x.meta.hop == hopSpill,
+		Admitted: func(t *flow.Target, refusal flow.Refusal) { decided <- admission{t, refusal} },
+	}
+	g, refusal := x.dispatcher.submit(r)
+	switch refusal {
+	case flow.Granted:
+		return g, ""
+	case flow.SpillFirst:
+		if x.spill(ctx) {
+			return nil, reasonSpilled
+		}
+		x.dispatcher.enqueue(r)
+	case flow.NotDecided:
+	default:
+		return nil, reasons[refusal]
+	}
+	return x.dispatcher.await(ctx, r, decided)
+}
+
+// reasonSpilled marks a request that another entry has answered.
+const reasonSpilled Reason = "Spilled"
+
 var retryBackoff = retry.Backoff{First: 2 * time.Millisecond, Most: 50 * time.Millisecond}
 
 func pause(ctx context.Context, d time.Duration) bool {
@@ -155,7 +180,8 @@
 
 // tryTarget sends one attempt to the granted target.
 func (x *exchange) tryTarget(ctx context.Context, g *grant) result {
-	return x.try(ctx, g.target.pool, g.target.spec.Instance.Address.String(), "")
+	c := carrierOf(g.target)
+	return x.try(ctx, c.pool, c.spec.Instance.Address.String(), hopNone)
 }
 
 func (x *exchange) tryPeer(ctx context.Context, to fleet.Sender, h hop) result {
@@ -167,7 +193,7 @@
 	if h == hopNone {
 		id = fmt.Sprintf("%s-%d", x.proxy.Self.Incarnation, x.proxy.attempts.Add(1))
 	}
-	a := &attempt{pool: pool, id: id, silence: x.dispatcher.silenceTimeout(), inform: x.inform}
+	a := &attempt{pool: pool, id: id, silence: x.dispatcher.settings().SilenceTimeout, inform: x.inform}
 	a.request = x.outgoing(host, id, h)
 	r := a.do(ctx)
 	x.doubt = x.doubt || r.outcome == Unknown
@@ -184,13 +210,7 @@
 
 // unclaimed reports whether another attempt with the same request id may have run elsewhere.
 func (x *exchange) unclaimed() bool {
-	return !x.claimed && !x.meta.idempotent && x.meta.id != ""
-}
-
-func (d *dispatcher) silenceTimeout() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.service.SilenceTimeout
+	return !x.claimed && !x.meta.idempotent && x.meta.id != "" && x.meta.hop != hopSpill
 }
 
 // outgoing builds the request that goes to a target or peer.
@@ -234,21 +254,21 @@
 
 // settle returns the slot of an attempt that gave no answer to pass on.
 func (x *exchange) settle(g *grant, r result) {
-	e := evidenceBad
+	e := flow.Bad
 	switch {
 	case r.silent:
-		e = evidenceNone
+		e = flow.None
 		x.dispatcher.count(func(c *Counters) { c.Silent++ })
 		x.event(event.ConnectionSilent, g, fmt.Sprintf("connection given up, %d older idle ones closed", r.retired))
 	case r.outcome == NotRun && r.response != nil:
-		e = evidenceBusy
+		e = flow.Busy
 	case x.r.Context().Err() != nil:
-		e = evidenceNone
+		e = flow.None
 	}
 	x.release(g, e)
 }
 
-func (x *exchange) release(g *grant, e evidence) {
+func (x *exchange) release(g *grant, e flow.Evidence) {
 	verdict, changed := x.dispatcher.release(g, time.Now(), e)
 	if !changed {
 		return
@@ -260,7 +280,7 @@
 func (x *exchange) event(kind event.Kind, g *grant, detail string) {
 	e := event.Event{Kind: kind, Zone: x.proxy.Zone, Request: x.meta.id, Detail: detail}
 	if g != nil {
-		e.Instance = g.target.spec.Instance.Name
+		e.Instance = g.target.Name
 	}
 	x.proxy.Events(e)
 }
@@ -286,14 +306,14 @@
 // finish passes on a target's answer.
 func (x *exchange) finish(g *grant, r result) {
 	whole := x.pass(r.response)
-	e := evidenceGood
+	e := flow.Good
 	switch {
 	case r.response.StatusCode >= http.StatusInternalServerError:
-		e = evidenceBad
+		e = flow.Bad
 	case !whole && x.r.Context().Err() != nil:
-		e = evidenceNone
+		e = flow.None
 	case !whole:
-		e = evidenceBad
+		e = flow.Bad
 	}
 	x.release(g, e)
 	if !whole {
@@ -317,29 +337,35 @@
 	x.refuse(status, Unknown, ReasonTargetFailed, "a target may have carried out the request")
 }
 
-// noTarget refuses a request that got no slot, or spills it to another zone.
-func (x *exchange) noTarget(ctx context.Context, reason Reason, last result) {
-	if x.doubt && !x.meta.idempotent {
-		x.failed(result{outcome: Unknown, err: last.err})
+// noTarget refuses a request that got no target, unless another entry takes it.
+func (x *exchange) noTarget(ctx context.Context, reason Reason) {
+	switch {
+	case reason == reasonSpilled:
 		return
-	}
-	if x.spill(ctx, reason) {
+	case x.doubt && !x.meta.idempotent:
+		x.failed(result{outcome: Unknown})
+		return
+	case x.maySpill(ctx, reason) && x.spill(ctx):
 		return
 	}
 	x.refuse(http.StatusServiceUnavailable, NotRun, reason, "the request was not sent to a target")
 }
 
-// spill forwards a request that found no room to an entry of another zone.
-func (x *exchange) spill(ctx context.Context, reason Reason) bool {
-	may := reason == ReasonNoTarget || reason == ReasonQueueFull || reason == ReasonDeadline
-	if !may || x.meta.hop != hopNone || ctx.Err() != nil || !x.body.replayable() {
+func (x *exchange) maySpill(ctx context.Context, reason Reason) bool {
+	return ctx.Err() == nil && (reason == ReasonNoTarget || reason == ReasonQueueFull || reason == ReasonDeadline)
+}
+
+// spill offers the request to other entries, which take it only into a free slot, and reports whether it was answered.
+func (x *exchange) spill(ctx context.Context) bool {
+	if x.meta.hop == hopSpill || x.doubt && !x.meta.idempotent || !x.body.replayable() {
 		return false
 	}
-	for _, to := range x.table.spill[x.meta.service] {
+	for _, to := range x.table.spillOrder(x.meta.service) {
 		x.dispatcher.count(func(c *Counters) { c.Spills++ })
 		r := x.tryPeer(ctx, to, hopSpill)
 		switch {
-		case r.response != nil && r.outcome == Done || r.response != nil && r.response.Header.Get(HeaderOutcome) == string(Unknown):
+		case r.response != nil && r.outcome == Done:
+			x.dispatcher.count(func(c *Counters) { c.SpillsDone++ })
 			if !x.pass(r.response) {
 				panic(http.ErrAbortHandler) // the answer that began is not whole
 			}
@@ -378,9 +404,7 @@
 	if x.dispatcher == nil {
 		return 1
 	}
-	x.dispatcher.mu.Lock()
-	defer x.dispatcher.mu.Unlock()
-	wait := x.dispatcher.pace.Wait(x.dispatcher.queue.Len(), x.dispatcher.slots())
+	wait := x.dispatcher.expectedWait(time.Now())
 	return max(1, int(math.Ceil(wait.Seconds())))
 }
 
--- a/io/proxy/meta.go
+++ b/io/proxy/meta.go
@@ -47,6 +47,7 @@
 	ReasonQueueFull        Reason = "QueueFull"
 	ReasonDeadline         Reason = "Deadline"
 	ReasonNoTarget         Reason = "NoTarget"
+	ReasonNoFreeSlot       Reason = "NoFreeSlot"
 	ReasonTargetFailed     Reason = "TargetFailed"
 	ReasonCancelled        Reason = "Cancelled"
 	ReasonOwnerUnreachable Reason = "OwnerUnreachable"
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -12,6 +12,7 @@
 	"daisysaddle/core/config"
 	"daisysaddle/core/event"
 	"daisysaddle/core/fleet"
+	"daisysaddle/core/flow"
 	"daisysaddle/core/route"
 )
 
@@ -20,7 +21,13 @@
 	Service config.Service
 	Pool    string
 	Targets []TargetSpec
-	Spill   []fleet.Sender
+	Spill   Spill
+}
+
+// Spill names the entries that may take a request when this one has no room.
+type Spill struct {
+	Near []fleet.Sender // of the own zone
+	Far  []fleet.Sender // of other zones
 }
 
 // Table is all that the control thread tells the traffic threads.
@@ -33,7 +40,19 @@
 	Window      time.Duration // how long a request id is remembered
 	Skew        time.Duration
 	dispatchers map[string]*dispatcher
-	spill       map[string][]fleet.Sender
+	spill       map[string]Spill
+}
+
+// spillOrder returns the entries to offer a request to: one of the own zone, then one of another.
+func (t *Table) spillOrder(service string) []fleet.Sender {
+	s := t.spill[service]
+	var order []fleet.Sender
+	for _, group := range [][]fleet.Sender{s.Near, s.Far} {
+		if len(group) > 0 {
+			order = append(order, group[rand.IntN(len(group))])
+		}
+	}
+	return order
 }
 
 // Links opens streams to other entries.
@@ -71,7 +90,7 @@
 		return err
 	}
 	dispatchers := make(map[string]*dispatcher)
-	t.spill = make(map[string][]fleet.Sender)
+	t.spill = make(map[string]Spill)
 	for _, r := range t.Routes {
 		d := p.dispatchers[r.Service.Name]
 		if d == nil {
@@ -117,12 +136,21 @@
 	}
 	return &dispatcher{
 		service: s,
-		queue:   queues(admit.Settings{Quota: quota, UrgentShare: s.UrgentShare}),
-		routing: routing(),
-		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		flow: flow.Dispatcher{
+			Queue:   queues(admit.Settings{Quota: quota, UrgentShare: s.UrgentShare}),
+			Routing: routing(),
+			Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		},
 	}, nil
 }
 
+// Poll lets time pass in all dispatchers; the control thread calls it at each tick.
+func (p *Proxy) Poll(now time.Time) {
+	for _, d := range p.dispatchers {
+		d.poll(now)
+	}
+}
+
 const dialTimeout = time.Second
 
 func targetPool(spec TargetSpec) *connPool {
@@ -210,9 +238,7 @@
 
 func (x *exchange) defaultTimeout(service string) time.Duration {
 	if d := x.table.dispatchers[service]; d != nil {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		return d.service.Deadline
+		return d.settings().Deadline
 	}
 	return time.Second
 }
--- a/io/trial/summary.go
+++ b/io/trial/summary.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -52,6 +53,9 @@
 		}
 	})
 	h := t.recorder.History()
+	if t.options.History != nil {
+		_ = json.NewEncoder(t.options.History).Encode(h) // the summary does not depend on it
+	}
 	violations := audit.Check(h)
 	s := Summary{Deployment: t.options.Deployment, Seed: t.options.Seed, Duration: end.Sub(begin), Executions: len(h.Executions), Violations: audit.Count(violations), ConfigInForce: audit.SlowestConfig(h), LastNewWork: audit.LastNewWork(h)}
 	for _, v := range violations[:min(len(violations), maxDetails)] {
--- a/io/trial/trial.go
+++ b/io/trial/trial.go
@@ -34,6 +34,7 @@
 	Progress   io.Writer
 	Log        zerolog.Logger
 	Override   string // settings in INI that are merged last
+	History    io.Writer
 }
 
 const (
