Prove requests against dying, silent and lying targets on real sockets

Found: a silent connection was checked once, after one silence period; without evidence at that moment it was held until the deadline (test hung before, given up within the next silence period after). An answer that net/http had buffered before the request was sent could be taken for its answer; connections now count bytes that came unasked, and 200 requests behind a target that sends one answer too many get only their own. Conclusion: POST with an Idempotency-Key on a dead reused connection runs once.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -22,13 +22,14 @@
 	inform  func(code int, header http.Header) // passes on an informational answer
 
 	conn   atomic.Pointer[conn]
-	before int64
+	before int64 // bytes written on the connection before this request
+	read   int64 // bytes read on it before this request
 	reused bool
 	sent   time.Time
 	gaveUp atomic.Bool
 
 	informing sync.Mutex
-	over      bool // no informational answer may be passed on any more
+	over      bool // the answer's header has come or the attempt failed
 }
 
 // result is the outcome of an attempt that may still have a body to copy.
@@ -49,10 +50,9 @@
 		GotConn:        a.gotConn,
 		Got1xxResponse: a.informational,
 	}
-	watch := time.AfterFunc(a.silence, func() { a.checkSilence(cancel) })
+	a.watchSilence(cancel)
 	response, err := a.pool.transport.RoundTrip(a.request.WithContext(httptrace.WithClientTrace(ctx, trace)))
-	watch.Stop()
-	a.endInforming()
+	a.end()
 	if err != nil {
 		cancel()
 		return a.failed(err)
@@ -61,9 +61,9 @@
 		a.pool.answered(c, time.Now())
 	}
 	response.Body = &cancelBody{ReadCloser: response.Body, cancel: a.finish(cancel)}
-	if echo := response.Header.Get(HeaderAttempt); echo != "" && echo != a.id {
-		_ = response.Body.Close()
+	if !a.answers(response) {
 		a.sealConn()
+		_ = response.Body.Close()
 		return result{outcome: Unknown, err: errMismatch}
 	}
 	if response.Header.Get(HeaderOutcome) == string(NotRun) {
@@ -72,13 +72,26 @@
 	return result{response: response, outcome: Done}
 }
 
+// answers reports whether the response was sent in answer to this request, as far as
+// that can be told: bytes that were there before the request belong to another one.
+func (a *attempt) answers(response *http.Response) bool {
+	c := a.conn.Load()
+	if c != nil && (c.unasked.Load() || c.read.Load() == a.read) {
+		return false
+	}
+	echo := response.Header.Get(HeaderAttempt)
+	return echo == "" || echo == a.id
+}
+
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	c, counted := info.Conn.(*conn)
 	if !counted {
 		return
 	}
 	c.busy.Store(true)
+	c.asked.Store(false)
 	a.before = c.written.Load()
+	a.read = c.read.Load()
 	a.reused = info.Reused
 	a.sent = time.Now()
 	a.conn.Store(c)
@@ -93,19 +106,37 @@
 	return nil
 }
 
-func (a *attempt) endInforming() {
+// end stops informational answers and the watch for silence.
+func (a *attempt) end() {
 	a.informing.Lock()
 	defer a.informing.Unlock()
 	a.over = true
 }
 
-// checkSilence gives up a reused connection when the target answers on newer ones.
-func (a *attempt) checkSilence(cancel context.CancelFunc) {
+func (a *attempt) ended() bool {
+	a.informing.Lock()
+	defer a.informing.Unlock()
+	return a.over
+}
+
+// watchSilence checks for silence again and again until the answer's header has come.
+func (a *attempt) watchSilence(cancel context.CancelFunc) {
+	time.AfterFunc(a.silence, func() {
+		if !a.ended() && !a.checkSilence(cancel) {
+			a.watchSilence(cancel)
+		}
+	})
+}
+
+// checkSilence gives up a reused connection when the target answers on newer ones, and reports whether it did.
+func (a *attempt) checkSilence(cancel context.CancelFunc) bool {
 	c := a.conn.Load()
-	if c != nil && a.reused && a.pool.silent(c, a.sent) {
-		a.gaveUp.Store(true)
-		cancel()
+	if c == nil || !a.reused || !a.pool.silent(c, a.sent) {
+		return false
 	}
+	a.gaveUp.Store(true)
+	cancel()
+	return true
 }
 
 func (a *attempt) failed(err error) result {
--- a/io/proxy/conn.go
+++ b/io/proxy/conn.go
@@ -19,6 +19,9 @@
 	net.Conn
 	opened  time.Time
 	written atomic.Int64
+	read    atomic.Int64
+	asked   atomic.Bool // the present request has begun to be written
+	unasked atomic.Bool // bytes came that no request asked for
 	sealed  atomic.Bool
 	busy    atomic.Bool
 	closed  func(*conn)
@@ -28,12 +31,25 @@
 // Write counts the bytes before it sends them, so that the count is never too small.
 func (c *conn) Write(b []byte) (int, error) {
 	c.written.Add(int64(len(b)))
+	c.asked.Store(true)
 	if c.sealed.Load() {
 		return 0, errSealed
 	}
 	return c.Conn.Write(b)
 }
 
+// Read notes bytes that come before the present request was written.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.read.Add(int64(n))
+		if !c.asked.Load() {
+			c.unasked.Store(true)
+		}
+	}
+	return n, err
+}
+
 // Close closes the connection and forgets it.
 func (c *conn) Close() error {
 	c.once.Do(func() { c.closed(c) })
--- /dev/null
+++ b/io/proxy/fault_test.go
@@ -0,0 +1,503 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
+
+	"daisysaddle/core/config"
+	"daisysaddle/core/event"
+	"daisysaddle/core/fleet"
+	"daisysaddle/core/route"
+)
+
+// rawTarget is a fake target that answers byte by byte on real sockets.
+type rawTarget struct {
+	listener   net.Listener
+	executions atomic.Int64
+	conns      atomic.Int64
+	group      errgroup.Group
+	open       sync.Map
+}
+
+// session is one connection to a rawTarget.
+type session struct {
+	net.Conn
+	target *rawTarget
+	reader *bufio.Reader
+	number int64
+}
+
+// request reads one whole request and counts it as executed.
+func (s *session) request() (*http.Request, bool) {
+	r, err := http.ReadRequest(s.reader)
+	if err != nil {
+		return nil, false
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return nil, false
+	}
+	s.target.executions.Add(1)
+	return r, true
+}
+
+func (s *session) answer(text string) {
+	fmt.Fprintf(s, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+}
+
+func newRawTarget(t *testing.T, serve func(*session)) *rawTarget {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	target := &rawTarget{listener: l}
+	target.group.Go(func() error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			target.open.Store(c, true)
+			s := &session{Conn: c, target: target, reader: bufio.NewReader(c), number: target.conns.Add(1)}
+			target.group.Go(func() error {
+				defer c.Close()
+				serve(s)
+				return nil
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		target.open.Range(func(c, _ any) bool { _ = c.(net.Conn).Close(); return true })
+		_ = target.group.Wait()
+	})
+	return target
+}
+
+func (r *rawTarget) address() netip.AddrPort {
+	return r.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+type noLinks struct{}
+
+func (noLinks) Open(fleet.Sender) (net.Conn, error) { return nil, net.ErrClosed }
+
+const testService = "plans"
+
+// newProxy returns an entry's proxy in front of targets, and its server.
+func newProxy(t *testing.T, change func(*Table), targets ...netip.AddrPort) (*Proxy, *httptest.Server) {
+	self := fleet.Sender{Name: "e1", Incarnation: "e1-1"}
+	p := New(self, "z", noLinks{}, func(event.Event) {})
+	table := Table{
+		Ready:    true,
+		Policies: config.Policies{Admission: "FairQueue", Routing: "LeastLoaded", Sharing: "Static"},
+		Rings:    map[string]Ring{"": {Nodes: []fleet.Sender{self}, Settled: true}},
+		Window:   time.Minute,
+	}
+	r := Route{Service: config.Service{Name: testService, Deadline: 5 * time.Second, QueueLimit: 10, RetryShare: 100, SilenceTimeout: 30 * time.Millisecond}, Pool: "p"}
+	for i, address := range targets {
+		r.Targets = append(r.Targets, TargetSpec{
+			Instance: config.Instance{Name: fmt.Sprintf("i%d", i), Address: address, Connections: 64},
+			Accepts:  true,
+			Share:    route.ShareSettings{Slots: 8, Entries: 1},
+		})
+	}
+	table.Routes = []Route{r}
+	if change != nil {
+		change(&table)
+	}
+	must.NoError(t, p.Update(time.Now(), table))
+	server := httptest.NewServer(p)
+	t.Cleanup(server.Close)
+	return p, server
+}
+
+// ask sends a request to the proxy and returns the answer with its body.
+func ask(t *testing.T, server *httptest.Server, method, body string, headers ...string) (*http.Response, string, error) {
+	t.Helper()
+	r, err := http.NewRequest(method, server.URL+"/x", strings.NewReader(body))
+	must.NoError(t, err)
+	r.Header.Set(HeaderService, testService)
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := server.Client().Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
+
+func newID() string { return uuid.Must(uuid.NewV7()).String() }
+
+// TestTargetDies verifies the outcome told to the caller against what the target executed.
+func TestTargetDies(t *testing.T) {
+	cases := []struct {
+		name       string
+		method     string
+		serve      func(*session)
+		outcomes   []Outcome
+		executions int64
+	}{
+		{"before reading", http.MethodPost, func(*session) {}, []Outcome{Unknown, NotRun}, 0},
+		{"while reading", http.MethodPost, func(s *session) { _, _ = s.reader.ReadByte() }, []Outcome{Unknown}, 0},
+		{"after reading a request that is not idempotent", http.MethodPost, func(s *session) { s.request() }, []Outcome{Unknown}, 1},
+		{"once after reading an idempotent request", http.MethodPut, func(s *session) {
+			if _, ok := s.request(); ok && s.number > 1 {
+				s.answer("second")
+			}
+		}, []Outcome{Done}, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			target := newRawTarget(t, c.serve)
+			_, server := newProxy(t, nil, target.address())
+			response, _, err := ask(t, server, c.method, "body")
+			must.NoError(t, err)
+			must.SliceContains(t, c.outcomes, Outcome(response.Header.Get(HeaderOutcome)))
+			must.Eq(t, c.executions, target.executions.Load())
+		})
+	}
+}
+
+func TestRefusedDialIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	address := l.Addr().(*net.TCPAddr).AddrPort()
+	must.NoError(t, l.Close())
+	_, server := newProxy(t, nil, address)
+	response, _, err := ask(t, server, http.MethodPost, "body", HeaderID, newID())
+	must.NoError(t, err)
+	must.Eq(t, string(NotRun), response.Header.Get(HeaderOutcome))
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+	must.NotEq(t, "", response.Header.Get("Retry-After"))
+}
+
+func TestHalfAnAnswerIsNeverPassedOffAsWhole(t *testing.T) {
+	cases := []struct{ name, answer string }{
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"},
+		{"with length", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			target := newRawTarget(t, func(s *session) {
+				if _, ok := s.request(); ok {
+					_, _ = io.WriteString(s, c.answer)
+				}
+			})
+			_, server := newProxy(t, nil, target.address())
+			_, _, err := ask(t, server, http.MethodPost, "body")
+			must.Error(t, err)
+		})
+	}
+}
+
+// TestDeadReusedConnectionRunsAtMostOnce covers the repetitions that net/http makes by itself.
+func TestDeadReusedConnectionRunsAtMostOnce(t *testing.T) {
+	cases := []struct{ name, body string }{{"empty body", ""}, {"with a body", "charge"}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			target := newRawTarget(t, func(s *session) {
+				if _, ok := s.request(); !ok {
+					return
+				}
+				s.answer("first")
+				s.request() // the second request runs and the connection dies before its answer
+			})
+			_, server := newProxy(t, nil, target.address())
+			_, _, err := ask(t, server, http.MethodPut, "warm")
+			must.NoError(t, err)
+			response, _, err := ask(t, server, http.MethodPost, c.body, HeaderID, newID())
+			must.NoError(t, err)
+			must.Eq(t, string(Unknown), response.Header.Get(HeaderOutcome))
+			must.Eq(t, 2, target.executions.Load())
+		})
+	}
+}
+
+func TestUnaskedBytesNeverReachTheNextCaller(t *testing.T) {
+	target := newRawTarget(t, func(s *session) {
+		for {
+			r, ok := s.request()
+			if !ok {
+				return
+			}
+			own := r.Header.Get("Own")
+			fmt.Fprintf(s, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%sHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", len(own), own)
+		}
+	})
+	_, server := newProxy(t, nil, target.address())
+	for i := range 200 {
+		own := fmt.Sprintf("own%d", i)
+		response, text, err := ask(t, server, http.MethodPut, "", "Own", own)
+		if err == nil && response.Header.Get(HeaderOutcome) == string(Done) {
+			must.Eq(t, own, text)
+		}
+	}
+}
+
+func TestAnswerToAnotherRequestIsRefused(t *testing.T) {
+	target := newRawTarget(t, func(s *session) {
+		if _, ok := s.request(); ok {
+			_, _ = io.WriteString(s, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"+HeaderAttempt+": another\r\n\r\nother")
+		}
+	})
+	_, server := newProxy(t, nil, target.address())
+	response, text, err := ask(t, server, http.MethodPost, "body")
+	must.NoError(t, err)
+	must.Eq(t, string(Unknown), response.Header.Get(HeaderOutcome))
+	must.StrNotContains(t, text, "other")
+}
+
+func TestLateAnswerIsDiscarded(t *testing.T) {
+	release := make(chan struct{})
+	target := newRawTarget(t, func(s *session) {
+		for {
+			r, ok := s.request()
+			if !ok {
+				return
+			}
+			if r.Header.Get("Slow") != "" {
+				<-release
+			}
+			s.answer(r.Header.Get("Own"))
+		}
+	})
+	_, server := newProxy(t, nil, target.address())
+	response, _, err := ask(t, server, http.MethodPost, "x", "Slow", "yes", "Own", "late", HeaderTimeout, "0.05")
+	must.NoError(t, err)
+	must.Eq(t, http.StatusGatewayTimeout, response.StatusCode)
+	must.Eq(t, string(Unknown), response.Header.Get(HeaderOutcome))
+	close(release)
+	_, text, err := ask(t, server, http.MethodPost, "x", "Own", "mine")
+	must.NoError(t, err)
+	must.Eq(t, "mine", text)
+}
+
+// TestSilentConnectionIsGivenUp silences the first connection after its first answer.
+func TestSilentConnectionIsGivenUp(t *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	target := newRawTarget(t, func(s *session) {
+		for n := 0; ; n++ {
+			r, ok := s.request()
+			if !ok {
+				return
+			}
+			if s.number == 1 && n > 0 {
+				<-hold // the connection is silent from its second request on
+				return
+			}
+			s.answer(r.Header.Get("Own"))
+		}
+	})
+	p, server := newProxy(t, nil, target.address())
+	_, _, err := ask(t, server, http.MethodPut, "", "Own", "warm")
+	must.NoError(t, err)
+	var group errgroup.Group
+	group.Go(func() error {
+		_, text, err := ask(t, server, http.MethodPut, "", "Own", "stuck")
+		if err == nil && text != "stuck" {
+			err = fmt.Errorf("got %q", text)
+		}
+		return err
+	})
+	for target.executions.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	for p.Counters()[testService].Silent == 0 {
+		_, text, err := ask(t, server, http.MethodPut, "", "Own", "fresh")
+		must.NoError(t, err)
+		must.Eq(t, "fresh", text)
+	}
+	must.NoError(t, group.Wait())
+	must.Zero(t, p.Counters()[testService].Ejections)
+}
+
+func TestRepeatedIDGetsTheFirstAnswer(t *testing.T) {
+	target := newRawTarget(t, func(s *session) {
+		for {
+			if _, ok := s.request(); !ok {
+				return
+			}
+			s.answer(fmt.Sprintf("run %d", s.target.executions.Load()))
+		}
+	})
+	_, server := newProxy(t, nil, target.address())
+	id := newID()
+	for range 3 {
+		response, text, err := ask(t, server, http.MethodPost, "x", HeaderID, id)
+		must.NoError(t, err)
+		must.Eq(t, "run 1", text)
+		must.Eq(t, string(Done), response.Header.Get(HeaderOutcome))
+	}
+	must.Eq(t, 1, target.executions.Load())
+}
+
+func TestConcurrentAttemptsWithOneIDRunOnce(t *testing.T) {
+	target := newRawTarget(t, func(s *session) {
+		for {
+			if _, ok := s.request(); !ok {
+				return
+			}
+			s.answer("ok")
+		}
+	})
+	_, server := newProxy(t, nil, target.address())
+	id := newID()
+	var group errgroup.Group
+	for range 16 {
+		group.Go(func() error {
+			_, _, err := ask(t, server, http.MethodPost, "x", HeaderID, id)
+			return err
+		})
+	}
+	must.NoError(t, group.Wait())
+	must.Eq(t, 1, target.executions.Load())
+}
+
+// TestIDsInDoubt verifies that an id that another owner may have run is neither run nor called NotRun.
+func TestIDsInDoubt(t *testing.T) {
+	self := fleet.Sender{Name: "e1", Incarnation: "e1-1"}
+	other := fleet.Sender{Name: "e2", Incarnation: "e2-1"}
+	cases := []struct {
+		name string
+		ring Ring
+		id   func() string
+	}{
+		{"ring not settled", Ring{Nodes: []fleet.Sender{self}}, newID},
+		{"owner unreachable", Ring{Nodes: []fleet.Sender{other}, Settled: true}, newID},
+		{"issued before this entry owned it", Ring{Nodes: []fleet.Sender{self}, Settled: true, Since: time.Now().Add(time.Hour)}, newID},
+		{"without a time, soon after a change of owner", Ring{Nodes: []fleet.Sender{self}, Settled: true, Since: time.Now()}, func() string { return "order-17" }},
+		{"older than the memory", Ring{Nodes: []fleet.Sender{self}, Settled: true}, func() string { return "01890000-0000-7000-8000-000000000000" }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			target := newRawTarget(t, func(s *session) { s.request() })
+			_, server := newProxy(t, func(table *Table) { table.Rings[""] = c.ring }, target.address())
+			response, _, err := ask(t, server, http.MethodPost, "x", HeaderID, c.id())
+			must.NoError(t, err)
+			must.Eq(t, string(Unknown), response.Header.Get(HeaderOutcome))
+			must.Zero(t, target.executions.Load())
+		})
+	}
+}
+
+func TestTargetsThatFailAllGetBoundedLoad(t *testing.T) {
+	const offered = 200
+	serve := func(s *session) {
+		for {
+			if _, ok := s.request(); !ok {
+				return
+			}
+			_, _ = io.WriteString(s, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"+HeaderOutcome+": NotRun\r\n\r\n")
+		}
+	}
+	a, b := newRawTarget(t, serve), newRawTarget(t, serve)
+	_, server := newProxy(t, func(table *Table) { table.Routes[0].Service.RetryShare = 10 }, a.address(), b.address())
+	for range offered {
+		response, _, err := ask(t, server, http.MethodPost, "x")
+		must.NoError(t, err)
+		must.Eq(t, string(NotRun), response.Header.Get(HeaderOutcome))
+	}
+	must.LessEq(t, offered*1.2, float64(a.executions.Load()+b.executions.Load()))
+}
+
+func TestMarkedTargetGetsNoNewWork(t *testing.T) {
+	hold := make(chan struct{})
+	target := newRawTarget(t, func(s *session) {
+		if _, ok := s.request(); ok {
+			<-hold
+			s.answer("whole")
+		}
+	})
+	var table Table
+	p, server := newProxy(t, func(full *Table) { table = *full }, target.address())
+	var group errgroup.Group
+	group.Go(func() error {
+		_, text, err := ask(t, server, http.MethodPost, "x")
+		if text != "whole" {
+			return fmt.Errorf("got %q: %w", text, err)
+		}
+		return err
+	})
+	for target.executions.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	table.Routes[0].Targets[0].Accepts = false
+	must.NoError(t, p.Update(time.Now(), table))
+	must.Eq(t, map[string]int{"i0": 1}, p.InFlight())
+	response, _, err := ask(t, server, http.MethodPost, "x")
+	must.NoError(t, err)
+	must.Eq(t, string(NotRun), response.Header.Get(HeaderOutcome))
+	close(hold)
+	must.NoError(t, group.Wait())
+	must.MapEmpty(t, p.InFlight())
+	must.Eq(t, 1, target.executions.Load())
+}
+
+func TestInformationalAnswersTrailersAndLengthPass(t *testing.T) {
+	target := newRawTarget(t, func(s *session) {
+		if _, ok := s.request(); ok {
+			_, _ = io.WriteString(s, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nTrailer: Sum\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nSum: 17\r\n\r\n")
+		}
+	})
+	_, server := newProxy(t, nil, target.address())
+	response, text, err := ask(t, server, http.MethodPost, "x")
+	must.NoError(t, err)
+	must.Eq(t, "hello", text)
+	must.Eq(t, "17", response.Trailer.Get("Sum"))
+	must.Eq(t, "", response.Header.Get("Link"))
+}
+
+// TestCancellationWaveDoesNotStallAdmission cancels waiting requests and expects the next one to be served.
+func TestCancellationWaveDoesNotStallAdmission(t *testing.T) {
+	hold := make(chan struct{})
+	target := newRawTarget(t, func(s *session) {
+		for {
+			if _, ok := s.request(); !ok {
+				return
+			}
+			<-hold
+			s.answer("ok")
+		}
+	})
+	_, server := newProxy(t, func(table *Table) {
+		table.Routes[0].Service.QueueLimit = 1000
+		table.Routes[0].Targets[0].Share.Slots = 1
+	}, target.address())
+	var first, wave errgroup.Group
+	first.Go(func() error { _, _, err := ask(t, server, http.MethodPut, ""); return err })
+	for target.executions.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for range 300 {
+		wave.Go(func() error {
+			response, _, err := ask(t, server, http.MethodPost, "x", HeaderTimeout, "0.1")
+			if err == nil && response.Header.Get(HeaderOutcome) != string(NotRun) {
+				err = fmt.Errorf("outcome %s", response.Header.Get(HeaderOutcome))
+			}
+			return err
+		})
+	}
+	must.NoError(t, wave.Wait())
+	close(hold)
+	must.NoError(t, first.Wait())
+	_, text, err := ask(t, server, http.MethodPut, "")
+	must.NoError(t, err)
+	must.Eq(t, "ok", text)
+	must.Eq(t, 2, target.executions.Load())
+}
