--- a/core/fleet/zone.go
+++ b/core/fleet/zone.go
@@ -109,6 +109,20 @@
 	return targets
 }
 
+// TargetsByZone returns the number of instances that the configuration places in each zone and pool.
+func TargetsByZone(c *config.Config) map[string]map[string]int {
+	targets := make(map[string]map[string]int)
+	for _, z := range c.Zones {
+		targets[z.Name] = make(map[string]int)
+	}
+	for _, i := range c.Instances {
+		if zone := targets[i.Zone]; zone != nil {
+			zone[i.Pool]++
+		}
+	}
+	return targets
+}
+
 // Available returns the number of instances of each pool that accept work.
 func (z *Zone) Available() map[string]int {
 	available := make(map[string]int)
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -42,6 +42,7 @@
 // Rules that hold an action.
 const (
 	RuleAllowance Rule = "Allowance"
+	RuleBudget    Rule = "Budget"
 	RuleFrozen    Rule = "Frozen"
 	RuleRack      Rule = "OneRack"
 	RuleWave      Rule = "WaveSize"
@@ -74,6 +75,7 @@
 	zone   fleet.Zone
 	out    Decision
 	target map[string]int
+	zones  map[string]map[string]int // target by zone and pool
 	budget map[string]int
 	leave  map[string]string // instance to Leave section
 	back   map[string]bool   // instance to the section's Return key
@@ -82,7 +84,8 @@
 // Step decides the next record of the zone.
 func Step(now time.Time, v View, p Policy) Decision {
 	s := &step{now: now, view: v, policy: p, zone: v.Zone.Clone()}
-	s.target = fleet.Targets(v.Config, s.zone.Name)
+	s.zones = fleet.TargetsByZone(v.Config)
+	s.target = s.zones[s.zone.Name]
 	s.budget = Budgets(v.Config)
 	s.leave, s.back = leaveSections(v.Config)
 	s.adoptConfig()
@@ -139,6 +142,10 @@
 	return true
 }
 
+func (s *step) targetIn(zone, pool string) int {
+	return s.zones[zone][pool]
+}
+
 func (s *step) note(e event.Event) {
 	e.Zone = s.zone.Name
 	e.Revision = s.zone.Revision + 1
--- a/core/plan/wave.go
+++ b/core/plan/wave.go
@@ -114,11 +114,14 @@
 
 func (s *step) startLeave(c Candidate) {
 	instance := s.zone.Find(c.Instance)
+	if c.Failed && !s.failureRecorded(c.Instance) {
+		return
+	}
 	if c.Failed || s.spares()[instance.Pool] {
 		s.change(instance, fleet.Leave, c.Reason)
 		return
 	}
-	if !s.mayStart(instance, c) {
+	if !s.mayStart(instance, c) || s.overspent(instance) {
 		return
 	}
 	room := s.granted(c.Pool) - s.unavailable(c.Pool)
@@ -134,6 +137,23 @@
 	}
 }
 
+// overspent holds the instance when failures alone exceed the pool's budget, so that even a replaced instance stays.
+func (s *step) overspent(i *fleet.Instance) bool {
+	missing := s.unavailable(i.Pool) + s.missingElsewhere(i.Pool)
+	if missing <= s.budget[i.Pool] {
+		return false
+	}
+	s.hold(i, RuleBudget, fmt.Sprintf("%d instances are unavailable with a budget of %d", missing, s.budget[i.Pool]))
+	return true
+}
+
+// failureRecorded reports whether an earlier record already shows the failure, so that the
+// history tells it apart from a decision.
+func (s *step) failureRecorded(instance string) bool {
+	old := s.view.Zone.Find(instance)
+	return old != nil && old.State == fleet.Failed
+}
+
 // mayStart checks the limits on width that hold even when a replacement is at hand.
 func (s *step) mayStart(i *fleet.Instance, c Candidate) bool {
 	if s.frozen() {
@@ -170,6 +190,10 @@
 		return true
 	}
 	granted := s.granted(i.Pool)
+	if elsewhere := s.missingElsewhere(i.Pool); s.unavailable(i.Pool)+elsewhere+1 > s.budget[i.Pool] {
+		s.hold(i, RuleBudget, fmt.Sprintf("%d unavailable here and %d in other zones of a budget of %d", s.unavailable(i.Pool), elsewhere, s.budget[i.Pool]))
+		return false
+	}
 	if s.unavailable(i.Pool)+1 <= granted {
 		return true
 	}
@@ -178,6 +202,15 @@
 	return false
 }
 
+// missingElsewhere counts the pool's missing instances in the other zones, as far as their records are known.
+func (s *step) missingElsewhere(pool string) int {
+	missing := 0
+	for name, z := range s.view.Others {
+		missing += max(0, s.targetIn(name, pool)-z.Available()[pool])
+	}
+	return missing
+}
+
 // returnSpares sends borrowed instances back to their pool when they are no longer needed.
 func (s *step) returnSpares() {
 	if !s.view.Config.Planner.ReturnSpares {
--- a/io/entry/planner.go
+++ b/io/entry/planner.go
@@ -127,7 +127,8 @@
 	}
 	d := plan.Step(now, c.view(now, own.zone), policy)
 	c.noteHeld(now, d.Held)
-	if !d.Changed {
+	fence := own.zone.Term < c.planner.term
+	if !d.Changed && !fence {
 		return
 	}
 	d.Zone.Revision++
