Weigh moves, buffer and roll-out by what a wave costs, and index the planning step

Cause: measure fleet showed that NorteChico, which weighs buffer most, planned like the baseline: the rule counted an idle spare as a cost of replacing, although a replacement is what keeps the spare busy during the wave.

--- a/cmd/daisysaddle/main.go
+++ b/cmd/daisysaddle/main.go
@@ -38,7 +38,8 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	// The first signal asks for a graceful stop; a second one ends the process at once.
+	context.AfterFunc(ctx, stop)
 	os.Exit(run(environment{ctx, os.Stdout, os.Stderr}, os.Args[1:]))
 }
 
--- a/cmd/daisysaddle/measure.go
+++ b/cmd/daisysaddle/measure.go
@@ -9,6 +9,7 @@
 
 type measureCommand struct {
 	Requests measureRequests `cmd:"" help:"Compare request policies on fake targets in virtual time."`
+	Fleet    measureFleet    `cmd:"" help:"Compare planner policies on a maintenance wave in virtual time."`
 }
 
 type measureRequests struct {
@@ -19,6 +20,9 @@
 func (c *measureRequests) Run(env environment) error {
 	for _, scene := range model.Scenes() {
 		for _, combination := range model.Combinations {
+			if env.ctx.Err() != nil {
+				return env.ctx.Err()
+			}
 			var total model.Result
 			for seed := range c.Seeds {
 				r, err := model.Run(scene.With(combination, uint64(seed+1)))
@@ -34,3 +38,32 @@
 	}
 	return nil
 }
+
+type measureFleet struct {
+	Seeds int    `default:"3" help:"Number of seeds, from 1."`
+	Fleet string `help:"Only this fleet."`
+}
+
+// Run prints one line for each fleet, policy and seed.
+func (c *measureFleet) Run(env environment) error {
+	for _, scene := range model.FleetScenes() {
+		if c.Fleet != "" && c.Fleet != scene.Name {
+			continue
+		}
+		for _, policy := range model.FleetPolicies {
+			for seed := range c.Seeds {
+				if env.ctx.Err() != nil {
+					return env.ctx.Err()
+				}
+				scene.Policy, scene.Seed = policy, uint64(seed+1)
+				r, err := model.RunFleet(scene)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(env.out, "Fleet=%s Policy=%s Seed=%d RollOut=%s Bound=%s BoundWithoutMoves=%s Finished=%t Moves=%d BufferCost=%.1f Violations=%d Failures=%d StepTime=%s\n",
+					scene.Name, policy, scene.Seed, r.RollOut, r.Bound, r.BoundWithoutMoves, r.Finished, r.Moves, r.BufferCost, r.Violations, r.Failures, r.StepTime.Round(time.Microsecond))
+			}
+		}
+	}
+	return nil
+}
--- a/core/fleet/zone.go
+++ b/core/fleet/zone.go
@@ -134,17 +134,24 @@
 	return available
 }
 
-// SplitBudget divides a pool's budget among the zones in proportion to their instances; shares sum to the budget.
-func SplitBudget(c *config.Config, pool config.Pool) map[string]int {
-	counts := make(map[string]int)
-	size := 0
+// SplitBudgets returns a zone's share of each pool's budget; a pool's shares are in proportion
+// to its instances in each zone and sum to its budget.
+func SplitBudgets(c *config.Config, zone string) map[string]int {
+	counts := make(map[string]map[string]int)
 	for _, i := range c.Instances {
-		if i.Pool == pool.Name {
-			counts[i.Zone]++
-			size++
+		if counts[i.Pool] == nil {
+			counts[i.Pool] = make(map[string]int)
 		}
+		counts[i.Pool][i.Zone]++
 	}
-	return largestRemainder(pool.Budget.Limit(size), size, counts)
+	shares := make(map[string]int)
+	sizes := c.PoolSizes()
+	for _, p := range c.Pools {
+		if size := sizes[p.Name]; !p.Spare && counts[p.Name][zone] > 0 {
+			shares[p.Name] = largestRemainder(p.Budget.Limit(size), size, counts[p.Name])[zone]
+		}
+	}
+	return shares
 }
 
 func largestRemainder(budget, size int, counts map[string]int) map[string]int {
--- /dev/null
+++ b/core/model/fleet.go
@@ -0,0 +1,269 @@
+package model
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"daisysaddle/core/audit"
+	"daisysaddle/core/config"
+	"daisysaddle/core/fleet"
+	"daisysaddle/core/plan"
+)
+
+// FleetSetup describes a maintenance wave over a whole fleet.
+type FleetSetup struct {
+	Name        string
+	Zones       int
+	Pools       int // that serve
+	Instances   int // in serving pools, over all zones
+	Spares      int // over all zones
+	Budget      config.Budget
+	Drain       time.Duration // time until an emptying instance has nothing in flight and no job
+	Reboot      time.Duration // time from hand-back until the platform lists the instance again
+	FailuresDay float64       // unplanned failures and restarts a day
+	Repair      time.Duration
+	Weights     config.Planner
+	Policy      string
+	Seed        uint64
+}
+
+// FleetResult is what a wave cost.
+type FleetResult struct {
+	RollOut    time.Duration
+	Bound      time.Duration // least time that wave size, budgets, spares and drain times allow
+	// BoundWithoutMoves is the least time when no instance may be replaced, for pools with a budget.
+	BoundWithoutMoves time.Duration
+	Finished   bool
+	Moves      uint64
+	BufferCost float64 // idle instance-hours
+	Violations int
+	Failures   int
+	Steps      int
+	StepTime   time.Duration // mean processor time of a planning step
+}
+
+const (
+	rackSize       = 4
+	fleetTick      = time.Second
+	fleetLimit     = 7 * 24 * time.Hour
+	secondsPerHour = 3600.0
+	secondsPerDay  = 24 * secondsPerHour
+)
+
+// FleetConfig builds the configuration of a fleet whose instances all are due for maintenance.
+func FleetConfig(s FleetSetup) *config.Config {
+	c := &config.Config{Revision: 1, Planner: s.Weights}
+	for z := range s.Zones {
+		c.Zones = append(c.Zones, config.Zone{Name: fmt.Sprintf("zone%d", z)})
+	}
+	sizes := make([]int, s.Pools)
+	for i := range s.Instances {
+		sizes[i%s.Pools]++
+	}
+	for p := range s.Pools {
+		name := fmt.Sprintf("pool%03d", p)
+		budget := s.Budget
+		if budget.Limit(sizes[p]) >= sizes[p] {
+			budget = config.Budget{}
+		}
+		c.Services = append(c.Services, config.Service{Name: name})
+		c.Pools = append(c.Pools, config.Pool{Name: name, Service: name, Budget: budget})
+	}
+	c.Pools = append(c.Pools, config.Pool{Name: "spare", Spare: true})
+	perZone := make([]int, s.Zones)
+	add := func(i int, pool string) {
+		zone := i % s.Zones
+		c.Instances = append(c.Instances, config.Instance{
+			Name: fmt.Sprintf("zone%d-%03d", zone, perZone[zone]), Zone: fmt.Sprintf("zone%d", zone),
+			Rack: fmt.Sprintf("r%02d", perZone[zone]/rackSize), Pool: pool, Slots: sceneSlots,
+		})
+		perZone[zone]++
+	}
+	for i := range s.Instances {
+		add(i, fmt.Sprintf("pool%03d", i%s.Pools))
+	}
+	for i := range s.Spares {
+		add(i, "spare")
+	}
+	return c
+}
+
+// WithWave returns a copy of c in which every instance is due for maintenance.
+func WithWave(c *config.Config) *config.Config {
+	next := *c
+	next.Revision++
+	wave := config.Leave{Name: "wave", Return: true}
+	for _, i := range c.Instances {
+		wave.Instances = append(wave.Instances, i.Name)
+	}
+	next.Leaves = append(next.Leaves, wave)
+	return &next
+}
+
+// wave is a running fleet experiment.
+type wave struct {
+	FleetSetup
+	now     time.Time
+	config  *config.Config
+	policy  plan.Policy
+	zones   map[string]fleet.Zone
+	down    map[string]time.Time // until when an instance is down
+	gone    map[string]time.Time // until when a returned instance is away
+	random  *rand.Rand
+	history audit.History
+	result  FleetResult
+	spent   time.Duration
+}
+
+// RunFleet plays a maintenance wave until every instance was maintained.
+func RunFleet(s FleetSetup) (FleetResult, error) {
+	policy, err := plan.Policies.Lookup(s.Policy)
+	if err != nil {
+		return FleetResult{}, err
+	}
+	w := &wave{
+		FleetSetup: s, now: time.Unix(0, 0), policy: policy, zones: make(map[string]fleet.Zone),
+		down: make(map[string]time.Time), gone: make(map[string]time.Time), random: rand.New(rand.NewPCG(s.Seed, s.Seed+3)),
+	}
+	w.publish(FleetConfig(s))
+	for range 10 {
+		w.tick(false)
+	}
+	w.publish(WithWave(w.config))
+	start := w.now
+	for w.now.Sub(start) < fleetLimit && !w.done() {
+		w.tick(true)
+	}
+	w.result.RollOut = w.now.Sub(start)
+	w.result.Finished = w.done()
+	w.result.Bound, w.result.BoundWithoutMoves = w.bound(w.Spares), w.bound(0)
+	w.result.Violations = len(audit.Check(w.history))
+	for _, z := range w.zones {
+		w.result.Moves += z.Moves
+	}
+	if w.result.Steps > 0 {
+		w.result.StepTime = w.spent / time.Duration(w.result.Steps)
+	}
+	return w.result, nil
+}
+
+func (w *wave) publish(c *config.Config) {
+	w.config = c
+	w.history.Configs = append(w.history.Configs, audit.Accepted{At: w.now, Config: c})
+}
+
+func (w *wave) tick(failures bool) {
+	w.now = w.now.Add(fleetTick)
+	if failures && w.random.Float64() < w.FailuresDay/secondsPerDay*fleetTick.Seconds() {
+		victim := w.config.Instances[w.random.IntN(len(w.config.Instances))].Name
+		w.down[victim] = w.now.Add(w.Repair)
+		w.result.Failures++
+	}
+	for _, z := range w.config.Zones {
+		w.step(z.Name)
+	}
+	w.countBuffer()
+}
+
+func (w *wave) step(zone string) {
+	view := w.view(zone)
+	before := time.Now()
+	d := plan.Step(w.now, view, w.policy)
+	w.spent += time.Since(before)
+	w.result.Steps++
+	if !d.Changed {
+		return
+	}
+	d.Zone.Revision++
+	for _, i := range d.Zone.Instances {
+		old := view.Zone.Find(i.Name)
+		if i.State == fleet.Returned && old != nil && old.State != fleet.Returned {
+			w.gone[i.Name] = w.now.Add(w.Reboot)
+		}
+	}
+	w.zones[zone] = d.Zone
+	w.history.Versions = append(w.history.Versions, audit.Version{At: w.now, Zone: d.Zone.Clone()})
+}
+
+func (w *wave) view(zone string) plan.View {
+	sender := fleet.Sender{Name: zone, Incarnation: zone}
+	v := plan.View{Config: w.config, Zone: w.zones[zone], Others: make(map[string]fleet.Zone), Down: make(map[string]bool), Absent: make(map[string]bool), Members: []plan.Member{{Sender: sender}}}
+	v.Zone.Name = zone
+	for name, z := range w.zones {
+		if name != zone {
+			v.Others[name] = z
+		}
+	}
+	inFlight := make(map[string]int)
+	for _, i := range v.Zone.Instances {
+		if i.State.Emptying() && w.now.Sub(i.Since) < w.Drain {
+			inFlight[i.Name] = 1
+		}
+		v.Down[i.Name] = w.now.Before(w.down[i.Name])
+		v.Absent[i.Name] = w.now.Before(w.gone[i.Name])
+	}
+	v.Reports = []plan.Report{{Sender: sender, ZoneRevision: v.Zone.Revision, InFlight: inFlight}}
+	return v
+}
+
+func (w *wave) done() bool {
+	for _, z := range w.zones {
+		for _, i := range z.Instances {
+			if i.FinishedLeave == "" || i.State != fleet.Serving && i.State != fleet.Failed {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// countBuffer adds the serving instances beyond what the pools need.
+func (w *wave) countBuffer() {
+	for _, z := range w.zones {
+		targets := fleet.Targets(w.config, z.Name)
+		for pool, available := range z.Available() {
+			if pool == "spare" {
+				w.result.BufferCost += float64(available) * fleetTick.Seconds() / secondsPerHour
+			} else {
+				w.result.BufferCost += float64(max(0, available-targets[pool])) * fleetTick.Seconds() / secondsPerHour
+			}
+		}
+	}
+}
+
+// bound returns the least roll-out time: each zone empties one rack of at most WaveInstances at a
+// time, and each pool may miss its budget plus the spares at once.
+func (w *wave) bound(spares int) time.Duration {
+	cycle := w.Drain + w.Reboot
+	sizes := w.config.PoolSizes()
+	longest := time.Duration(0)
+	perZone := (w.Instances + w.Spares + w.Zones - 1) / w.Zones
+	width := min(w.Weights.WaveInstances, rackSize)
+	longest = max(longest, time.Duration((perZone+width-1)/width)*w.Drain+w.Reboot)
+	for _, p := range w.config.Pools {
+		if p.Spare {
+			continue
+		}
+		room := p.Budget.Limit(sizes[p.Name]) + spares
+		longest = max(longest, time.Duration((sizes[p.Name]+room-1)/max(1, room))*cycle)
+	}
+	return longest
+}
+
+// FleetScenes lists the fleets of the brief and of the two-year plan.
+func FleetScenes() []FleetSetup {
+	weights := config.Planner{FreezeFailures: 3, FreezePeriod: 10 * time.Minute, WaveInstances: 4, ReturnSpares: true, ReplaceAfter: 10 * time.Minute}
+	moves, buffer := weights, weights
+	moves.MovesWeight, moves.BufferWeight, moves.RollOutWeight = 3, 1, 1
+	buffer.MovesWeight, buffer.BufferWeight, buffer.RollOutWeight = 1, 3, 2
+	common := FleetSetup{Budget: config.Budget{Count: 1}, Drain: 30 * time.Second, Reboot: 2 * time.Minute, FailuresDay: 68, Repair: 5 * time.Minute}
+	sicily, norte, large := common, common, common
+	sicily.Name, sicily.Zones, sicily.Pools, sicily.Instances, sicily.Spares, sicily.Weights = "Sicily", 3, 5, 48, 8, moves
+	norte.Name, norte.Zones, norte.Pools, norte.Instances, norte.Spares, norte.Weights = "NorteChico", 4, 5, 48, 8, buffer
+	large.Name, large.Zones, large.Pools, large.Instances, large.Spares, large.Weights = "TwoYears", 5, 358, 600, 40, moves
+	return []FleetSetup{sicily, norte, large}
+}
+
+// FleetPolicies lists the compared planner policies, the baselines first.
+var FleetPolicies = []string{"DrainFirst", "ReplaceFirst", "Weighted"}
--- a/core/plan/allow.go
+++ b/core/plan/allow.go
@@ -12,11 +12,12 @@
 // a larger one only after every zone has adopted the configuration.
 func (s *step) updateAllowances() {
 	adopted := s.everyZoneAdopted()
+	shares := fleet.SplitBudgets(s.view.Config, s.zone.Name)
 	for _, pool := range s.view.Config.Pools {
 		if pool.Spare {
 			continue
 		}
-		share := fleet.SplitBudget(s.view.Config, pool)[s.zone.Name]
+		share := shares[pool.Name]
 		if share == 0 && !s.hasAllowance(pool.Name) {
 			continue
 		}
@@ -53,7 +54,7 @@
 
 // unavailable returns how many instances the pool lacks in this zone.
 func (s *step) unavailable(pool string) int {
-	return max(0, s.target[pool]-s.zone.Available()[pool])
+	return max(0, s.target[pool]-s.available(pool))
 }
 
 // settleTransfers takes in allowance given to this zone and forgets what others took in.
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -74,6 +74,10 @@
 	policy Policy
 	zone   fleet.Zone
 	out    Decision
+	placed map[string]config.Instance // configured instances by name
+	spare  map[string]bool            // spare pools by name
+	free   map[string]int             // instances that accept work by pool; nil after a change
+	away   map[string]int             // missing instances of other zones by pool
 	target map[string]int
 	zones  map[string]map[string]int // target by zone and pool
 	budget map[string]int
@@ -87,6 +91,7 @@
 	s.zones = fleet.TargetsByZone(v.Config)
 	s.target = s.zones[s.zone.Name]
 	s.budget = Budgets(v.Config)
+	s.index()
 	s.leave, s.back = leaveSections(v.Config)
 	s.adoptConfig()
 	s.updateSenders()
@@ -106,6 +111,33 @@
 	return s.out
 }
 
+// index prepares what the rules look up for each instance or pool.
+func (s *step) index() {
+	s.placed = make(map[string]config.Instance, len(s.view.Config.Instances))
+	for _, i := range s.view.Config.Instances {
+		s.placed[i.Name] = i
+	}
+	s.spare = make(map[string]bool)
+	for _, p := range s.view.Config.Pools {
+		s.spare[p.Name] = p.Spare
+	}
+	s.away = make(map[string]int)
+	for name, z := range s.view.Others {
+		available := z.Available()
+		for pool, target := range s.zones[name] {
+			s.away[pool] += max(0, target-available[pool])
+		}
+	}
+}
+
+// available returns the number of instances of the pool that accept work in this zone.
+func (s *step) available(pool string) int {
+	if s.free == nil {
+		s.free = s.zone.Available()
+	}
+	return s.free[pool]
+}
+
 func equalRecords(a, b fleet.Zone) bool {
 	return a.ConfigRevision == b.ConfigRevision && slices.Equal(a.Wants, b.Wants) && slices.Equal(a.Taken, b.Taken) &&
 		slices.Equal(a.Outgoing, b.Outgoing) && slices.Equal(a.Allowances, b.Allowances)
@@ -128,6 +160,7 @@
 
 // change applies an event to an instance and records it.
 func (s *step) change(i *fleet.Instance, e fleet.Event, detail string) bool {
+	s.free = nil
 	next, err := i.State.Apply(e)
 	if err != nil {
 		return false
@@ -142,10 +175,6 @@
 	return true
 }
 
-func (s *step) targetIn(zone, pool string) int {
-	return s.zones[zone][pool]
-}
-
 func (s *step) note(e event.Event) {
 	e.Zone = s.zone.Name
 	e.Revision = s.zone.Revision + 1
@@ -159,8 +188,12 @@
 // adoptConfig adds the zone's new instances; an instance that the configuration dropped leaves first.
 func (s *step) adoptConfig() {
 	s.zone.ConfigRevision = max(s.zone.ConfigRevision, s.view.Config.Revision)
+	recorded := make(map[string]bool, len(s.zone.Instances))
+	for _, i := range s.zone.Instances {
+		recorded[i.Name] = true
+	}
 	for _, c := range s.view.Config.Instances {
-		if c.Zone != s.zone.Name || s.zone.Find(c.Name) != nil {
+		if c.Zone != s.zone.Name || recorded[c.Name] {
 			continue
 		}
 		s.zone.Instances = append(s.zone.Instances, fleet.Instance{Name: c.Name, Pool: c.Pool, Home: c.Pool, State: fleet.Serving, Since: s.now})
@@ -168,7 +201,7 @@
 		s.out.Changed = true
 	}
 	s.zone.Instances = slices.DeleteFunc(s.zone.Instances, func(i fleet.Instance) bool {
-		c, known := s.view.Config.FindInstance(i.Name)
+		c, known := s.placed[i.Name]
 		removed := (!known || c.Zone != s.zone.Name) && i.State == fleet.Returned
 		s.out.Changed = s.out.Changed || removed
 		return removed
@@ -204,7 +237,7 @@
 	for i := range s.zone.Instances {
 		instance := &s.zone.Instances[i]
 		down := s.view.Down[instance.Name]
-		if down && s.change(instance, fleet.Fail, "unplanned failure") {
+		if down && instance.State == fleet.Serving && s.change(instance, fleet.Fail, "unplanned failure") {
 			s.zone.Failures = append(s.zone.Failures, s.now)
 		}
 		if !down && instance.State == fleet.Failed {
@@ -253,12 +286,12 @@
 }
 
 func (s *step) inConfig(name string) bool {
-	c, known := s.view.Config.FindInstance(name)
+	c, known := s.placed[name]
 	return known && c.Zone == s.zone.Name
 }
 
 func (s *step) homeOf(i *fleet.Instance) string {
-	if c, known := s.view.Config.FindInstance(i.Name); known {
+	if c, known := s.placed[i.Name]; known {
 		return c.Pool
 	}
 	return i.Pool
@@ -311,8 +344,9 @@
 func (s *step) assign(i *fleet.Instance, pool, detail string) {
 	i.Pool = pool
 	i.Destination = ""
+	s.free = nil
 	s.zone.Moves++
-	if !s.change(i, fleet.Assign, detail) {
+	if i.State != fleet.Moving || !s.change(i, fleet.Assign, detail) {
 		i.Since = s.now
 		s.note(event.Event{Kind: event.InstanceChanged, Instance: i.Name, Pool: pool, Detail: "Serving: " + detail})
 		s.out.Changed = true
--- a/core/plan/policy.go
+++ b/core/plan/policy.go
@@ -71,10 +71,11 @@
 
 const movesPerReplacement = 2
 
-// Surge replaces first when waiting for room costs more than two moves and one idle instance.
+// Surge replaces first when there is no room to drain and the two moves of a
+// replacement cost less than the delay and the spare that stands idle meanwhile.
 func (Weighted) Surge(w config.Planner, room int) bool {
 	if room > 0 {
 		return false
 	}
-	return w.RollOutWeight > movesPerReplacement*w.MovesWeight+w.BufferWeight
+	return w.RollOutWeight+w.BufferWeight > movesPerReplacement*w.MovesWeight
 }
--- a/core/plan/wave.go
+++ b/core/plan/wave.go
@@ -44,20 +44,11 @@
 	return s.back[i.Name] && !i.State.AcceptsWork()
 }
 
-func (s *step) spares() map[string]bool {
-	spares := make(map[string]bool)
-	for _, p := range s.view.Config.Pools {
-		spares[p.Name] = p.Spare
-	}
-	return spares
-}
-
 func (s *step) findSpare() *fleet.Instance {
-	spares := s.spares()
 	for i := range s.zone.Instances {
 		instance := &s.zone.Instances[i]
 		_, leaving := s.wantsLeave(instance)
-		if spares[instance.Pool] && instance.State == fleet.Serving && !leaving {
+		if s.spare[instance.Pool] && instance.State == fleet.Serving && !leaving {
 			return instance
 		}
 	}
@@ -85,7 +76,7 @@
 }
 
 func (s *step) startMove(i *fleet.Instance, pool, reason string) {
-	if s.spares()[i.Pool] {
+	if s.spare[i.Pool] {
 		s.assign(i, pool, reason)
 		return
 	}
@@ -103,7 +94,7 @@
 		if !leaving || instance.State != fleet.Serving && instance.State != fleet.Failed {
 			continue
 		}
-		c, _ := s.view.Config.FindInstance(instance.Name)
+		c := s.placed[instance.Name]
 		candidates = append(candidates, Candidate{Instance: instance.Name, Rack: c.Rack, Pool: instance.Pool, Failed: instance.State == fleet.Failed, Return: s.back[instance.Name], Reason: reason})
 	}
 	s.policy.Order(candidates)
@@ -117,7 +108,7 @@
 	if c.Failed && !s.failureRecorded(c.Instance) {
 		return
 	}
-	if c.Failed || s.spares()[instance.Pool] {
+	if c.Failed || s.spare[instance.Pool] {
 		s.change(instance, fleet.Leave, c.Reason)
 		return
 	}
@@ -166,7 +157,7 @@
 			continue
 		}
 		emptying++
-		placed, _ := s.view.Config.FindInstance(other.Name)
+		placed := s.placed[other.Name]
 		if placed.Rack != c.Rack {
 			s.hold(i, RuleRack, fmt.Sprintf("rack %s is emptying; one rack of a zone at a time", placed.Rack))
 			return false
@@ -185,8 +176,8 @@
 		s.hold(i, RuleFrozen, "too many unplanned failures lately")
 		return false
 	}
-	surplus := s.zone.Available()[i.Pool] - s.target[i.Pool]
-	if surplus > 0 || s.spares()[i.Pool] {
+	surplus := s.available(i.Pool) - s.target[i.Pool]
+	if surplus > 0 || s.spare[i.Pool] {
 		return true
 	}
 	granted := s.granted(i.Pool)
@@ -203,13 +194,7 @@
 }
 
 // missingElsewhere counts the pool's missing instances in the other zones, as far as their records are known.
-func (s *step) missingElsewhere(pool string) int {
-	missing := 0
-	for name, z := range s.view.Others {
-		missing += max(0, s.targetIn(name, pool)-z.Available()[pool])
-	}
-	return missing
-}
+func (s *step) missingElsewhere(pool string) int { return s.away[pool] }
 
 // returnSpares sends borrowed instances back to their pool when they are no longer needed.
 func (s *step) returnSpares() {
@@ -223,7 +208,7 @@
 		if !borrowed || leaving || s.homeOf(instance) != instance.Home {
 			continue
 		}
-		if s.zone.Available()[instance.Pool] > s.target[instance.Pool] && !s.awaited(instance.Pool) {
+		if s.available(instance.Pool) > s.target[instance.Pool] && !s.awaited(instance.Pool) {
 			s.startMove(instance, instance.Home, "no longer needed in "+instance.Pool)
 		}
 	}
