--- a/core/config/model.go
+++ b/core/config/model.go
@@ -28,6 +28,7 @@
 	ClockError       time.Duration
 	ListLag          time.Duration
 	IdempotencyRetry time.Duration
+	GoneEntries      []string // incarnations that an operator says have ended
 }
 
 // Policies names the plug-in in force for each exchangeable decision.
--- a/core/config/schema.go
+++ b/core/config/schema.go
@@ -169,6 +169,7 @@
 	durationField("ClockError", 500*time.Millisecond, 0, time.Minute, "largest difference between two clocks", func(d *Deployment) *time.Duration { return &d.ClockError }),
 	durationField("ListLag", 30*time.Second, 0, time.Hour, "largest delay of the platform's list of instances", func(d *Deployment) *time.Duration { return &d.ListLag }),
 	durationField("IdempotencyRetry", 10*time.Minute, time.Second, time.Hour, "how long the outcome of a request id is remembered", func(d *Deployment) *time.Duration { return &d.IdempotencyRetry }),
+	listField("GoneEntries", "incarnations of entries that have surely ended, so that no retirement waits for them", func(d *Deployment) *[]string { return &d.GoneEntries }),
 }
 
 var policyFields = []field[Policies]{
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -363,7 +363,7 @@
 		switch {
 		case at >= 0 && s.view.Reports[at].Stopped:
 		case at < 0 || s.view.Reports[at].ZoneRevision < i.MarkRevision:
-			s.hold(i, RuleAck, "entry "+sender.Name+" has not acknowledged the mark")
+			s.hold(i, RuleAck, "entry "+sender.Name+" ("+sender.Incarnation+") has not acknowledged the mark")
 			return false
 		case s.view.Reports[at].InFlight[i.Name] > 0:
 			s.hold(i, RuleInFlight, fmt.Sprintf("entry %s has %d requests in flight", sender.Name, s.view.Reports[at].InFlight[i.Name]))
--- a/io/entry/planner.go
+++ b/io/entry/planner.go
@@ -228,8 +228,8 @@
 	return p != nil && p.stopped
 }
 
-// gone returns the senders that surely no longer run: they said so, another process holds
-// their address, or both their lease and their place in the platform's list are gone for
+// gone returns the senders that surely no longer run: they or an operator said so, another
+// process holds their address, or both their lease and their place in the platform's list are gone for
 // longer than the list may lag.
 func (c *control) gone(now time.Time, own fleet.Zone) map[string]bool {
 	gone := make(map[string]bool)
@@ -238,7 +238,7 @@
 		replaced := slices.ContainsFunc(members, func(m plan.Member) bool {
 			return m.Sender.PeerAddress == s.PeerAddress && m.Sender.Incarnation != s.Incarnation
 		})
-		if s.Incarnation != c.entry.self.Incarnation && (c.hasStopped(s) || replaced || c.unlisted(now, own.Name, s)) {
+		if s.Incarnation != c.entry.self.Incarnation && (c.hasStopped(s) || replaced || slices.Contains(c.config.Deployment.GoneEntries, s.Incarnation) || c.unlisted(now, own.Name, s)) {
 			gone[s.Incarnation] = true
 		}
 	}
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,149 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
+
+	"daisysaddle/core/fleet"
+	"daisysaddle/io/wire"
+)
+
+type node struct {
+	mesh     *Mesh
+	address  netip.AddrPort
+	frames   chan *wire.Frame
+	up       chan Identity
+	shutdown func()
+}
+
+func newNode(t *testing.T, name, secret string) *node {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	keys, err := Keys("d", secret)
+	must.NoError(t, err)
+	n := &node{address: l.Addr().(*net.TCPAddr).AddrPort(), frames: make(chan *wire.Frame, 16), up: make(chan Identity, 16)}
+	n.mesh = &Mesh{
+		Self:    Identity{Deployment: "d", Zone: "z", Sender: fleet.Sender{Name: name, Incarnation: name, PeerAddress: n.address}},
+		Keys:    keys,
+		Receive: func(_ Identity, f *wire.Frame) { n.frames <- f },
+		Changed: func(p Identity, up bool) {
+			if up {
+				n.up <- p
+			}
+		},
+		Handler: http.NotFoundHandler(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return n.mesh.Serve(ctx, l) })
+	n.shutdown = func() {
+		cancel()
+		_ = group.Wait()
+	}
+	t.Cleanup(n.shutdown)
+	return n
+}
+
+const (
+	goodSecret  = "a secret of sixteen"
+	otherSecret = "another deployment's"
+)
+
+func connect(t *testing.T, from, to *node) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		from.mesh.Connect(ctx, to.address, func(netip.AddrPort) bool { return false })
+		return nil
+	})
+	t.Cleanup(func() {
+		cancel()
+		_ = group.Wait()
+	})
+}
+
+func TestPeersLinkOnceAndExchangeFrames(t *testing.T) {
+	a, b := newNode(t, "a", goodSecret), newNode(t, "b", goodSecret)
+	connect(t, a, b)
+	connect(t, b, a)
+	must.Eq(t, "b", (<-a.up).Sender.Name)
+	must.Eq(t, "a", (<-b.up).Sender.Name)
+	for !a.mesh.Send("b", &wire.Frame{Body: &wire.Frame_Status{Status: &wire.Status{ConfigRevision: 7}}}) {
+		time.Sleep(time.Millisecond)
+	}
+	must.Len(t, 1, a.mesh.Peers())
+}
+
+func TestPeerOfAnotherDeploymentIsRefused(t *testing.T) {
+	b := newNode(t, "b", goodSecret)
+	keys, err := Keys("d", otherSecret)
+	must.NoError(t, err)
+	_, err = dial(t.Context(), b.address, keys, Identity{Deployment: "d", Sender: fleet.Sender{Name: "a", Incarnation: "a"}})
+	must.Error(t, err)
+	must.SliceEmpty(t, b.mesh.Peers())
+}
+
+func TestShortSecretIsRefused(t *testing.T) {
+	_, err := Keys("d", "short")
+	must.ErrorContains(t, err, "at least 16")
+}
+
+// TestBadPeers sends what no entry sends; the link must close and others must still be served.
+func TestBadPeers(t *testing.T) {
+	cases := []struct {
+		name string
+		send []byte
+	}{
+		{"garbage", []byte("GET / HTTP/1.1\r\n\r\n")},
+		{"frame of 1 GB", binary.AppendUvarint(nil, 1<<30)},
+		{"no hello", []byte{2, 0x12, 0}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newNode(t, "b", goodSecret)
+			keys, err := Keys("d", goodSecret)
+			must.NoError(t, err)
+			conn, err := tls.Dial("tcp", b.address.String(), keys)
+			must.NoError(t, err)
+			session, err := yamux.Client(conn, sessionConfig())
+			must.NoError(t, err)
+			stream, err := session.Open()
+			must.NoError(t, err)
+			_, err = stream.Write(c.send)
+			must.NoError(t, err)
+			<-session.CloseChan()
+			must.SliceEmpty(t, b.mesh.Peers())
+			a := newNode(t, "a", goodSecret)
+			connect(t, a, b)
+			must.Eq(t, "b", (<-a.up).Sender.Name)
+		})
+	}
+}
+
+func TestOldVersionIsRefused(t *testing.T) {
+	b := newNode(t, "b", goodSecret)
+	keys, err := Keys("d", goodSecret)
+	must.NoError(t, err)
+	conn, err := tls.Dial("tcp", b.address.String(), keys)
+	must.NoError(t, err)
+	session, err := yamux.Client(conn, sessionConfig())
+	must.NoError(t, err)
+	stream, err := session.Open()
+	must.NoError(t, err)
+	l := &link{control: stream}
+	hello := &wire.Hello{Version: protocolVersion + 1, Deployment: "d", Sender: &wire.Sender{Name: "a", Incarnation: "a"}}
+	must.NoError(t, l.write(&wire.Frame{Body: &wire.Frame_Hello{Hello: hello}}))
+	<-session.CloseChan()
+	must.SliceEmpty(t, b.mesh.Peers())
+}
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"golang.org/x/time/rate"
 
 	"daisysaddle/core/retry"
@@ -20,7 +21,9 @@
 	Value      json.RawMessage
 }
 
-const rememberedOperations = 16
+const rememberedOperations = 64
+
+const operationBase = 36
 
 // Priority orders platform calls under a short budget.
 type Priority int
@@ -105,7 +108,7 @@
 // Repeating the same compare-and-swap is safe, because at most one of the
 // repetitions can find the expected revision.
 func (c *Client) Swap(ctx context.Context, prev Record, payload []byte, lease string) (Record, Outcome, error) {
-	operation := uuid.NewString()
+	operation := strconv.FormatUint(rand.Uint64(), operationBase)
 	operations := append(slices.Clone(prev.open().Operations), operation)
 	if len(operations) > rememberedOperations {
 		operations = operations[len(operations)-rememberedOperations:]
@@ -118,45 +121,56 @@
 		return prev, Conflicted, errors.Wrapf(ErrTooLarge, "%s has %d bytes", prev.Key, len(value))
 	}
 	next := Record{Key: prev.Key, Value: value, Lease: lease}
-	return c.settle(ctx, next, prev.Revision, operation)
+	return c.settle(ctx, next, prev, operation)
 }
 
-func (c *Client) settle(ctx context.Context, next Record, expect uint64, operation string) (Record, Outcome, error) {
-	doubt := false
+// settle repeats the compare-and-swap until its outcome is known or ctx ends.
+func (c *Client) settle(ctx context.Context, next, prev Record, operation string) (Record, Outcome, error) {
+	doubt := false // an attempt got no definite answer
 	for attempt := 0; ; attempt++ {
 		var written Record
 		err := c.call(ctx, Safety, func(ctx context.Context) error {
 			var err error
-			written, err = c.Backend.Swap(ctx, next, expect)
+			written, err = c.Backend.Swap(ctx, next, prev.Revision)
 			return err
 		})
-		if err == nil {
+		switch {
+		case err == nil:
 			next.Revision = written.Revision
 			return next, Applied, nil
-		}
-		if errors.Is(err, ErrNoLease) || errors.Is(err, ErrTooLarge) {
+		case errors.Is(err, ErrNoLease) || errors.Is(err, ErrTooLarge):
 			return Record{Key: next.Key}, Conflicted, err
 		}
-		if errors.Is(err, ErrConflict) {
-			current, err := c.Get(ctx, next.Key, Safety)
-			if err == nil {
-				return c.judge(current, operation, doubt)
+		doubt = doubt || errors.Is(err, ErrUnavailable)
+		if current, readErr := c.Get(ctx, next.Key, Safety); readErr == nil && current.Revision != prev.Revision {
+			if !doubt {
+				return current, Conflicted, ErrConflict
 			}
-			doubt = true
+			return judge(current, prev, operation)
 		}
-		doubt = doubt || errors.Is(err, ErrUnavailable)
 		if wait(ctx, c.Backoff.Delay(attempt)) != nil {
 			return Record{Key: next.Key}, Unsettled, errors.Wrapf(err, "swap %s", next.Key)
 		}
 	}
 }
 
-// judge decides from what stands at the platform whether the write took effect.
-func (c *Client) judge(current Record, operation string, doubt bool) (Record, Outcome, error) {
-	if doubt && slices.Contains(current.open().Operations, operation) {
+// judge decides from the record that stands in place of prev whether the operation took effect.
+//
+// The record names its newest operations. When the operation that led to prev is still among
+// them, or there was none, every later one is too; otherwise nothing can be said.
+func judge(current, prev Record, operation string) (Record, Outcome, error) {
+	operations, before := current.open().Operations, prev.open().Operations
+	if slices.Contains(operations, operation) {
 		return current, Applied, nil
 	}
-	return current, Conflicted, ErrConflict
+	complete := len(operations) < rememberedOperations
+	if len(before) > 0 {
+		complete = slices.Contains(operations, before[len(before)-1])
+	}
+	if current.Revision == 0 || complete {
+		return current, Conflicted, ErrConflict
+	}
+	return current, Unsettled, errors.Wrapf(ErrUnavailable, "%s was written too often to tell whether this write took effect", current.Key)
 }
 
 // Watch waits for changes after a revision; the wait counts as one call.
