--- a/core/config/check.go
+++ b/core/config/check.go
@@ -13,7 +13,6 @@
 	d.validatePools()
 	d.validateInstances()
 	d.validateLeaves()
-	d.validateJobs()
 }
 
 func (d *decoder) validateServices() {
@@ -114,19 +113,6 @@
 	}
 }
 
-func (d *decoder) validateJobs() {
-	for _, j := range d.config.Jobs {
-		title := "Job " + j.Name
-		if _, known := d.config.FindPool(j.Pool); !known && j.Pool != "" {
-			d.failAt(title, "Pool", "no section [Pool "+j.Pool+"]")
-		}
-		known := slices.ContainsFunc(d.config.Teams, func(t Team) bool { return t.Name == j.Team })
-		if !known && j.Team != "" {
-			d.failAt(title, "Team", "no section [Team "+j.Team+"]")
-		}
-	}
-}
-
 // Leaving returns the names of the instances that a Leave section covers, with the section's Return key.
 func (c *Config) Leaving() map[string]bool {
 	leaving := make(map[string]bool)
--- a/core/config/decode.go
+++ b/core/config/decode.go
@@ -69,10 +69,8 @@
 			c.Teams = decodeNamed(d, s, teamFields, Team{Name: s.name}, c.Teams)
 		case "Leave":
 			c.Leaves = decodeNamed(d, s, leaveFields, Leave{Name: s.name}, c.Leaves)
-		case "Job":
-			c.Jobs = decodeNamed(d, s, jobFields, Job{Name: s.name}, c.Jobs)
 		default:
-			d.failAt(s.title, "", "unknown section: want Deployment, Policies, Planner, Zone, Service, Pool, Instance, Team, Leave or Job")
+			d.failAt(s.title, "", "unknown section: want Deployment, Policies, Planner, Zone, Service, Pool, Instance, Team or Leave")
 		}
 	}
 	slices.SortFunc(c.Instances, func(a, b Instance) int { return strings.Compare(a.Name, b.Name) })
--- a/core/config/schema.go
+++ b/core/config/schema.go
@@ -159,7 +159,6 @@
 const (
 	maxInstances = 4096
 	maxSlots     = 1024
-	maxMemoryMB  = 16 << 20
 )
 
 var deploymentFields = []field[Deployment]{
@@ -215,9 +214,6 @@
 	textField("Pool", required, "pool of the instance; changing it moves the instance", func(i *Instance) *string { return &i.Pool }),
 	countField("Slots", "requests", 8, 1, maxSlots, "requests the instance runs at once", func(i *Instance) *int { return &i.Slots }),
 	countField("Connections", "connections", 64, 1, 1<<16, "connections the instance accepts", func(i *Instance) *int { return &i.Connections }),
-	countField("Processors", "cores", 16, 1, maxSlots, "processor cores", func(i *Instance) *int { return &i.Processors }),
-	countField("MemoryMB", "MB", 32<<10, 1, maxMemoryMB, "memory", func(i *Instance) *int { return &i.MemoryMB }),
-	countField("Accelerators", "accelerators", 0, 0, maxSlots, "accelerators", func(i *Instance) *int { return &i.Accelerators }),
 }
 
 var teamFields = []field[Team]{
@@ -230,17 +226,6 @@
 	flagField("Return", false, "maintenance: the instances come back when the platform lists them as live", func(l *Leave) *bool { return &l.Return }),
 }
 
-var jobFields = []field[Job]{
-	textField("Pool", required, "pool whose workers run the job", func(j *Job) *string { return &j.Pool }),
-	textField("Team", "(none)", "team whose quota the job uses", func(j *Job) *string { return &j.Team }),
-	countField("Processors", "cores", 1, 0, maxSlots, "declared processor cores of one replica", func(j *Job) *int { return &j.Processors }),
-	countField("MemoryMB", "MB", 512, 0, maxMemoryMB, "declared memory of one replica", func(j *Job) *int { return &j.MemoryMB }),
-	countField("Accelerators", "accelerators", 0, 0, maxSlots, "accelerators of one replica", func(j *Job) *int { return &j.Accelerators }),
-	flagField("Urgent", false, "may displace work that is not urgent", func(j *Job) *bool { return &j.Urgent }),
-	flagField("RunOnce", false, "never started again when its outcome is in doubt", func(j *Job) *bool { return &j.RunOnce }),
-	countField("Replicas", "replicas", 1, 1, maxInstances, "replicas to keep running", func(j *Job) *int { return &j.Replicas }),
-}
-
 // Keys lists every section and key with unit, default, bounds and meaning.
 func Keys() []KeyInfo {
 	var keys []KeyInfo
@@ -252,8 +237,7 @@
 	keys = appendKeys(keys, "Pool NAME", poolFields)
 	keys = appendKeys(keys, "Instance NAME", instanceFields)
 	keys = appendKeys(keys, "Team NAME", teamFields)
-	keys = appendKeys(keys, "Leave NAME", leaveFields)
-	return appendKeys(keys, "Job NAME", jobFields)
+	return appendKeys(keys, "Leave NAME", leaveFields)
 }
 
 func appendKeys[T any](keys []KeyInfo, section string, fields []field[T]) []KeyInfo {
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -32,7 +32,6 @@
 	TargetReadmitted Kind = "TargetReadmitted"
 	ConnectionSilent Kind = "ConnectionSilent"
 	RequestUnknown   Kind = "RequestUnknown"
-	JobChanged       Kind = "JobChanged"
 )
 
 // Event is one record of the time line.
