--- a/cmd/daisysaddle/measure.go
+++ b/cmd/daisysaddle/measure.go
@@ -11,6 +11,7 @@
 type measureCommand struct {
 	Requests measureRequests `cmd:"" help:"Compare request policies on fake targets in virtual time."`
 	Capacity measureCapacity `cmd:"" help:"Measure how costs grow with the size and extrapolate to the size designed for."`
+	Jobs     measureJobs     `cmd:"" help:"Compare placement policies for jobs in virtual time."`
 	Fleet    measureFleet    `cmd:"" help:"Compare planner policies on a maintenance wave in virtual time."`
 }
 
@@ -88,3 +89,28 @@
 	}
 	return scale.Processes(env.ctx, func(l fmt.Stringer) { fmt.Fprintln(env.out, l) })
 }
+
+type measureJobs struct {
+	Seeds int `default:"3" help:"Number of seeds, from 1."`
+}
+
+// Run prints one line for each scene, policy and seed.
+func (c *measureJobs) Run(env environment) error {
+	for _, scene := range model.WorkScenes() {
+		for _, policy := range model.WorkPolicies {
+			for seed := range c.Seeds {
+				if env.ctx.Err() != nil {
+					return env.ctx.Err()
+				}
+				scene.Policy, scene.Seed = policy, uint64(seed+1)
+				r, err := model.RunWork(scene)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(env.out, "Scene=%s Policy=%s Seed=%d Jobs=%d Started=%d Wasted=%d WastedOnBad=%d Parked=%d Urgent=%d UrgentInTime=%d UrgentP99=%s Packing=%.3f OverSeconds=%.0f StepTime=%s\n",
+					scene.Name, policy, scene.Seed, r.Jobs, r.Started, r.Wasted, r.WastedOnBad, r.Parked, r.Urgent, r.UrgentInTime, r.UrgentP99, r.Packing, r.OverSeconds, r.StepTime.Round(time.Microsecond))
+			}
+		}
+	}
+	return nil
+}
