--- a/core/config/decode.go
+++ b/core/config/decode.go
@@ -8,7 +8,7 @@
 type decoder struct {
 	config   *Config
 	problems []Problem
-	places   map[string]Setting // section name to its first setting
+	places   map[place]string // file of each key; the empty key stands for its section
 }
 
 type section struct {
@@ -23,7 +23,11 @@
 }
 
 func (d *decoder) failAt(title, key, reason string) {
-	d.problems = append(d.problems, Problem{d.places[title].File, title, key, reason})
+	file, known := d.places[place{title, key}]
+	if !known {
+		file = d.places[place{title, ""}]
+	}
+	d.problems = append(d.problems, Problem{file, title, key, reason})
 }
 
 func groupSections(settings []Setting) []section {
@@ -48,7 +52,10 @@
 	sections = append(sections, missingSingletons(sections)...)
 	for _, s := range sections {
 		if len(s.settings) > 0 {
-			d.places[s.title] = s.settings[0]
+			d.places[place{s.title, ""}] = s.settings[0].File
+		}
+		for _, setting := range s.settings {
+			d.places[place{s.title, setting.Key}] = setting.File
 		}
 		switch s.kind {
 		case "Deployment":
--- a/core/config/merge.go
+++ b/core/config/merge.go
@@ -120,7 +120,6 @@
 }
 
 func (a Accepted) conflicts(base uint64, mine []Change) []Conflict {
-	type place struct{ section, key string }
 	changed := make(map[place]Change)
 	for _, r := range a.History {
 		if r.Number <= base {
@@ -149,16 +148,16 @@
 
 // Diff returns the settings that differ between two sets of files.
 func Diff(before, after []File) ([]Change, error) {
-	type place struct{ file, section, key string }
-	values := func(files []File) (map[place]string, error) {
-		all := make(map[place]string)
+	type filePlace struct{ file, section, key string }
+	values := func(files []File) (map[filePlace]string, error) {
+		all := make(map[filePlace]string)
 		for _, f := range files {
 			settings, problems := parseFile(f)
 			if len(problems) > 0 {
 				return nil, JoinProblems(problems)
 			}
 			for _, s := range settings {
-				all[place{s.File, s.Section, s.Key}] = s.Value
+				all[filePlace{s.File, s.Section, s.Key}] = s.Value
 			}
 		}
 		return all, nil
--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -23,6 +23,9 @@
 	Value   string
 }
 
+// place is a key of a section, whatever file it stands in.
+type place struct{ section, key string }
+
 // Problem is one error in the configuration, with its place.
 type Problem struct {
 	File    string
@@ -81,7 +84,6 @@
 func Merge(files []File) ([]Setting, []Problem) {
 	ordered := slices.Clone(files)
 	slices.SortFunc(ordered, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
-	type place struct{ section, key string }
 	at := make(map[place]int)
 	var merged []Setting
 	var problems []Problem
@@ -103,7 +105,7 @@
 // Parse merges and validates files and returns the configuration or all problems found.
 func Parse(files []File, revision uint64) (*Config, []Problem) {
 	settings, problems := Merge(files)
-	d := decoder{config: &Config{Revision: revision}, problems: problems, places: make(map[string]Setting)}
+	d := decoder{config: &Config{Revision: revision}, problems: problems, places: make(map[place]string)}
 	d.decode(settings)
 	d.validate()
 	if len(d.problems) > 0 {
