Settle the owners of request ids at once, and tell a slow target from a silent connection

By time and reason (recorded history): most fell after an entry was replaced, because other zones' acknowledgement of a new ring waited for the next far heartbeat, and because a stopped entry was gone before the ring without it was in force. A change of senders is now acknowledged at once; an entry that stops releases its lease first and answers for its ids until it is out. Cause 2: a request to an owner whose target was slow was given up as a silent link, and a slow POST on a reused connection was given up after SilenceTimeout, since other connections answered meanwhile. Peer links have heartbeats of their own and are left alone; requests that may not run again wait for their deadline; unacknowledged bytes break a connection after 3 s by TCP.

--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -329,7 +329,11 @@
 	if old := c.zones[z.Name]; r.Revision <= old.record.Revision || z.Revision < old.zone.Revision {
 		return
 	}
+	ringChanged := c.zones[z.Name].zone.RingRevision != z.RingRevision
 	c.zones[z.Name] = held{r, z}
+	if ringChanged {
+		c.sendStatus(now, true) // owners of request ids wait for every node's acknowledgement
+	}
 	if z.Name == c.entry.settings.Zone {
 		c.note(now, event.Event{Kind: event.ZoneInForce, Revision: z.Revision})
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -35,6 +35,7 @@
 	peers   net.Listener
 	admin   net.Listener
 	stop    chan struct{}
+	release chan struct{} // closed when the lease is no longer needed
 }
 
 const (
@@ -57,7 +58,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "entry settings: Backend")
 	}
-	e := &Entry{settings: s, log: log, stop: make(chan struct{})}
+	e := &Entry{settings: s, log: log, stop: make(chan struct{}), release: make(chan struct{})}
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -150,7 +151,9 @@
 const (
 	unreadyPeriod = 300 * time.Millisecond // time for the balancer to notice
 	drainPoll     = 20 * time.Millisecond
-	lastStatus    = 200 * time.Millisecond // time for the final status to reach the peers
+	// removalTimeout bounds the wait of an entry that stops while nobody plans its zone.
+	removalTimeout = 3 * time.Second
+	lastStatus     = 200 * time.Millisecond // time for the final status to reach the peers
 )
 
 // drain ends the entry's part in serving: unready first, then no new work, then the work in flight.
@@ -167,9 +170,25 @@
 	case <-done:
 	case <-ctx.Done():
 	}
+	close(e.release)
+	e.awaitRemoval(ctx)
 	pause(ctx, lastStatus)
 }
 
+// awaitRemoval keeps answering for the request ids that this entry owns until another planner has
+// taken it out of the zone's senders.
+func (e *Entry) awaitRemoval(ctx context.Context) {
+	deadline := time.Now().Add(removalTimeout)
+	for time.Now().Before(deadline) {
+		listed := false
+		e.control.ask(ctx, func() { listed = e.control.isSender() })
+		if !listed {
+			return
+		}
+		pause(ctx, drainPoll)
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/io/entry/platform.go
+++ b/io/entry/platform.go
@@ -57,7 +57,7 @@
 // runLease holds the lease that says this entry is alive.
 func (e *Entry) runLease(ctx context.Context) {
 	lease := ""
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !e.released() {
 		var err error
 		if lease == "" {
 			lease, err = e.register(ctx)
@@ -69,7 +69,7 @@
 			pause(ctx, retry.Backoff{}.Delay(renewFraction))
 			continue
 		}
-		pause(ctx, defaultLease/renewFraction)
+		e.pauseUntilRelease(ctx, defaultLease/renewFraction)
 	}
 	if lease != "" {
 		release, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
@@ -78,6 +78,25 @@
 	}
 }
 
+func (e *Entry) released() bool {
+	select {
+	case <-e.release:
+		return true
+	default:
+		return false
+	}
+}
+
+func (e *Entry) pauseUntilRelease(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-e.release:
+	case <-timer.C:
+	}
+}
+
 // register makes a lease and the membership key under it.
 func (e *Entry) register(ctx context.Context) (string, error) {
 	lease, err := e.client.Grant(ctx, defaultLease)
--- a/io/entry/table.go
+++ b/io/entry/table.go
@@ -41,7 +41,13 @@
 	if c.stopping || own.Revision == 0 {
 		return false
 	}
-	return own.HasSender(c.entry.self.Name, c.entry.self.Incarnation) || !c.platformUp && c.anyPeerLinked()
+	return c.isSender() || !c.platformUp && c.anyPeerLinked()
+}
+
+// isSender reports whether the zone's record counts this entry among its senders.
+func (c *control) isSender() bool {
+	own := c.zones[c.entry.settings.Zone].zone
+	return own.HasSender(c.entry.self.Name, c.entry.self.Incarnation)
 }
 
 func (c *control) anyPeerLinked() bool {
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -18,7 +18,8 @@
 	pool    *connPool
 	request *http.Request
 	id      string
-	silence time.Duration
+	silence time.Duration                      // zero on peer links, which notice silence by their own heartbeats
+	patient bool                               // wait for the answer even on a suspected connection, because the request may not run again
 	inform  func(code int, header http.Header) // passes on an informational answer
 
 	conn   atomic.Pointer[conn]
@@ -50,7 +51,9 @@
 		GotConn:        a.gotConn,
 		Got1xxResponse: a.informational,
 	}
-	a.watchSilence(cancel)
+	if a.silence > 0 {
+		a.watchSilence(cancel)
+	}
 	response, err := a.pool.transport.RoundTrip(a.request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	a.end()
 	if err != nil {
@@ -128,12 +131,17 @@
 	})
 }
 
-// checkSilence gives up a reused connection when the target answers on newer ones, and reports whether it did.
+// checkSilence suspects a reused connection when the target answers on newer ones, and reports whether
+// it did. The older idle connections are closed; the request is given up if it may run again.
 func (a *attempt) checkSilence(cancel context.CancelFunc) bool {
 	c := a.conn.Load()
 	if c == nil || !a.reused || !a.pool.silent(c, a.sent) {
 		return false
 	}
+	if a.patient {
+		a.pool.retireOlder(c)
+		return true
+	}
 	a.gaveUp.Store(true)
 	cancel()
 	return true
@@ -149,7 +157,7 @@
 	if untouched {
 		r.outcome = NotRun
 	}
-	if r.silent || a.reused && errors.Is(err, context.DeadlineExceeded) {
+	if r.silent || a.silence > 0 && a.reused && errors.Is(err, context.DeadlineExceeded) {
 		r.silent = true
 		r.retired = a.pool.retireOlder(c)
 	}
--- a/io/proxy/exchange.go
+++ b/io/proxy/exchange.go
@@ -184,6 +184,9 @@
 	return x.try(ctx, c.pool, c.spec.Instance.Address.String(), hopNone)
 }
 
+// silenceFactor is the number of typical service times after which a request is unusually slow.
+const silenceFactor = 8
+
 func (x *exchange) tryPeer(ctx context.Context, to fleet.Sender, h hop) result {
 	return x.try(ctx, x.proxy.peers.get(x.proxy.Links, to), to.Name, h)
 }
@@ -193,7 +196,11 @@
 	if h == hopNone {
 		id = fmt.Sprintf("%s-%d", x.proxy.Self.Incarnation, x.proxy.attempts.Add(1))
 	}
-	a := &attempt{pool: pool, id: id, silence: x.dispatcher.settings().SilenceTimeout, inform: x.inform}
+	a := &attempt{pool: pool, id: id, inform: x.inform}
+	if h == hopNone {
+		a.silence = max(x.dispatcher.settings().SilenceTimeout, silenceFactor*x.dispatcher.expected())
+		a.patient = !x.meta.idempotent
+	}
 	a.request = x.outgoing(host, id, h)
 	r := a.do(ctx)
 	x.doubt = x.doubt || r.outcome == Unknown
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -6,8 +6,12 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
 	"daisysaddle/core/admit"
 	"daisysaddle/core/config"
 	"daisysaddle/core/event"
@@ -151,13 +155,27 @@
 	}
 }
 
-const dialTimeout = time.Second
+const (
+	dialTimeout           = time.Second
+	unacknowledgedTimeout = 3 * time.Second // after which a connection that lost its way is broken
+)
+
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+
+// limitUnacknowledged lets the system break a connection whose bytes are not acknowledged.
+func limitUnacknowledged(_, _ string, raw syscall.RawConn) error {
+	var setErr error
+	err := raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout/time.Millisecond))
+	})
+	return errors.CombineErrors(err, setErr)
+}
 
 func targetPool(spec TargetSpec) *connPool {
 	address := spec.Instance.Address.String()
 	connections := max(1, spec.Instance.Connections/max(1, spec.Share.Entries))
 	return newConnPool(func(ctx context.Context) (net.Conn, error) {
-		dialer := net.Dialer{Timeout: dialTimeout}
+		dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitUnacknowledged}
 		return dialer.DialContext(ctx, "tcp", address)
 	}, connections)
 }
