--- a/core/config/check.go
+++ b/core/config/check.go
@@ -113,16 +113,16 @@
 	}
 }
 
-// Leaving returns the names of the instances that a Leave section covers, with the section's Return key.
-func (c *Config) Leaving() map[string]bool {
-	leaving := make(map[string]bool)
+// Leaving returns the Leave section that covers each instance.
+func (c *Config) Leaving() map[string]Leave {
+	leaving := make(map[string]Leave)
 	for _, l := range c.Leaves {
 		for _, name := range l.Instances {
-			leaving[name] = l.Return
+			leaving[name] = l
 		}
 		for _, i := range c.Instances {
 			if slices.Contains(l.Racks, i.Zone+"/"+i.Rack) {
-				leaving[i.Name] = l.Return
+				leaving[i.Name] = l
 			}
 		}
 	}
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -81,8 +81,7 @@
 	target map[string]int
 	zones  map[string]map[string]int // target by zone and pool
 	budget map[string]int
-	leave  map[string]string // instance to Leave section
-	back   map[string]bool   // instance to the section's Return key
+	leave  map[string]config.Leave // by instance
 }
 
 // Step decides the next record of the zone.
@@ -92,7 +91,7 @@
 	s.target = s.zones[s.zone.Name]
 	s.budget = Budgets(v.Config)
 	s.index()
-	s.leave, s.back = leaveSections(v.Config)
+	s.leave = v.Config.Leaving()
 	s.adoptConfig()
 	s.updateSenders()
 	s.updateFailures()
@@ -143,21 +142,6 @@
 		slices.Equal(a.Outgoing, b.Outgoing) && slices.Equal(a.Allowances, b.Allowances)
 }
 
-func leaveSections(c *config.Config) (map[string]string, map[string]bool) {
-	sections := make(map[string]string)
-	for _, l := range c.Leaves {
-		for _, name := range l.Instances {
-			sections[name] = l.Name
-		}
-		for _, i := range c.Instances {
-			if slices.Contains(l.Racks, i.Zone+"/"+i.Rack) {
-				sections[i.Name] = l.Name
-			}
-		}
-	}
-	return sections, c.Leaving()
-}
-
 // change applies an event to an instance and records it.
 func (s *step) change(i *fleet.Instance, e fleet.Event, detail string) bool {
 	s.free = nil
@@ -273,10 +257,10 @@
 			s.out.Changed = true
 		}
 		section, listed := s.leave[instance.Name]
-		maintained := listed && s.back[instance.Name] && instance.Absent && !absent
+		maintained := listed && section.Return && instance.Absent && !absent
 		withdrawn := !listed && !absent && s.inConfig(instance.Name)
 		if maintained || withdrawn {
-			instance.FinishedLeave = section
+			instance.FinishedLeave = section.Name
 			instance.Absent = false
 			instance.Pool = s.homeOf(instance)
 			instance.Home = instance.Pool
@@ -303,10 +287,10 @@
 		return "removed from the configuration", true
 	}
 	section, listed := s.leave[i.Name]
-	if !listed || i.FinishedLeave == section {
+	if !listed || i.FinishedLeave == section.Name {
 		return "", false
 	}
-	return "named by Leave " + section, true
+	return "named by Leave " + section.Name, true
 }
 
 // cancel takes back marks that the configuration no longer asks for.
--- a/core/plan/wave.go
+++ b/core/plan/wave.go
@@ -41,7 +41,7 @@
 	if i.State == fleet.Failed {
 		return s.now.Sub(i.Since) < s.view.Config.Planner.ReplaceAfter
 	}
-	return s.back[i.Name] && !i.State.AcceptsWork()
+	return s.leave[i.Name].Return && !i.State.AcceptsWork()
 }
 
 func (s *step) findSpare() *fleet.Instance {
@@ -95,7 +95,7 @@
 			continue
 		}
 		c := s.placed[instance.Name]
-		candidates = append(candidates, Candidate{Instance: instance.Name, Rack: c.Rack, Pool: instance.Pool, Failed: instance.State == fleet.Failed, Return: s.back[instance.Name], Reason: reason})
+		candidates = append(candidates, Candidate{Instance: instance.Name, Rack: c.Rack, Pool: instance.Pool, Failed: instance.State == fleet.Failed, Return: s.leave[instance.Name].Return, Reason: reason})
 	}
 	s.policy.Order(candidates)
 	for _, c := range candidates {
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/netip"
 	"slices"
 	"sync/atomic"
@@ -16,7 +15,6 @@
 	"daisysaddle/core/plan"
 	"daisysaddle/io/peer"
 	"daisysaddle/io/store"
-	"daisysaddle/io/wire"
 )
 
 // held is a record with the zone it decodes to.
@@ -256,113 +254,6 @@
 	c.plan(now)
 }
 
-// adoptBatch takes over what the watch delivered.
-func (c *control) adoptBatch(now time.Time, b store.Batch) {
-	if b.Full {
-		c.forgetMissingLeases(now, b)
-	}
-	for _, r := range b.Records {
-		c.adoptRecord(now, r)
-	}
-	for _, key := range b.Deleted {
-		c.deleted(now, key)
-	}
-	c.publish(now)
-	c.sendStatus(now, false)
-}
-
-func (c *control) forgetMissingLeases(now time.Time, b store.Batch) {
-	present := make(map[string]bool)
-	for _, r := range b.Records {
-		present[r.Key] = true
-	}
-	for key := range c.leases {
-		if !present[key] {
-			c.deleted(now, key)
-		}
-	}
-	if !present[keyPlanner(c.entry.settings.Zone)] {
-		c.deleted(now, keyPlanner(c.entry.settings.Zone))
-	}
-}
-
-// adoptRecord takes over a record that is newer than the one in force.
-func (c *control) adoptRecord(now time.Time, r store.Record) {
-	c.planner.changed = true
-	zone, isEntry := zoneOfEntryKey(r.Key)
-	switch {
-	case r.Key == keyConfig:
-		c.adoptConfig(now, r)
-	case r.Key == keyPlanner(c.entry.settings.Zone):
-		c.planner.adopt(r)
-	case isEntry:
-		c.adoptMember(r, zone)
-	case len(r.Key) > len(prefixZone) && r.Key[:len(prefixZone)] == prefixZone:
-		c.adoptZone(now, r)
-	}
-}
-
-func (c *control) adoptConfig(now time.Time, r store.Record) {
-	if r.Revision <= c.configRecord.Revision {
-		return
-	}
-	accepted, err := config.Decode(r.Payload())
-	if err != nil {
-		c.entry.log.Error().Str("Event", "RecordRefused").Str("Key", r.Key).Err(err).Msg("")
-		return
-	}
-	parsed, problems := config.Parse(accepted.Files, accepted.Revision)
-	if len(problems) > 0 {
-		c.entry.log.Error().Str("Event", "RecordRefused").Str("Key", r.Key).Err(config.JoinProblems(problems)).Msg("")
-		return
-	}
-	c.configRecord, c.config = r, parsed
-	c.note(now, event.Event{Kind: event.ConfigInForce, Revision: accepted.Revision})
-}
-
-func (c *control) adoptZone(now time.Time, r store.Record) {
-	var z fleet.Zone
-	if err := json.Unmarshal(r.Payload(), &z); err != nil {
-		c.entry.log.Error().Str("Event", "RecordRefused").Str("Key", r.Key).Err(err).Msg("")
-		return
-	}
-	if old := c.zones[z.Name]; r.Revision <= old.record.Revision || z.Revision < old.zone.Revision {
-		return
-	}
-	ringChanged := c.zones[z.Name].zone.RingRevision != z.RingRevision
-	c.zones[z.Name] = held{r, z}
-	if ringChanged {
-		c.sendStatus(now, true) // owners of request ids wait for every node's acknowledgement
-	}
-	if z.Name == c.entry.settings.Zone {
-		c.note(now, event.Event{Kind: event.ZoneInForce, Revision: z.Revision})
-	}
-}
-
-func (c *control) adoptMember(r store.Record, zone string) {
-	var s fleet.Sender
-	if json.Unmarshal(r.Payload(), &s) != nil || s.Incarnation == "" {
-		return
-	}
-	_, known := c.leases[r.Key]
-	c.leases[r.Key] = member{zone, s}
-	delete(c.lostLease, s.Incarnation)
-	c.leasesChanged()
-	if !known && c.entry.self.Incarnation < s.Incarnation {
-		c.connect(s.PeerAddress)
-	}
-}
-
-// leasesChanged divides the call budget again and tells the dialling goroutines whom to keep.
-func (c *control) leasesChanged() {
-	c.entry.client.ShareBudget(max(1, len(c.leases)))
-	addresses := make(map[netip.AddrPort]bool)
-	for _, m := range c.leases {
-		addresses[m.sender.PeerAddress] = true
-	}
-	c.addresses.Store(&addresses)
-}
-
 // connect keeps a link to a peer until its lease is gone; addresses from the settings are kept always.
 func (c *control) connect(address netip.AddrPort) {
 	c.group.Go(func() error {
@@ -395,18 +286,6 @@
 	}
 }
 
-func (c *control) deleted(now time.Time, key string) {
-	c.planner.changed = true
-	if m, known := c.leases[key]; known {
-		delete(c.leases, key)
-		c.lostLease[m.sender.Incarnation] = now
-		c.leasesChanged()
-	}
-	if key == keyPlanner(c.entry.settings.Zone) {
-		c.planner.vacant(now)
-	}
-}
-
 func (c *control) setPeer(now time.Time, m peerChanged) {
 	c.planner.changed = true
 	p := c.peer(m.peer)
@@ -427,98 +306,3 @@
 	}
 	return p
 }
-
-func (c *control) handleFrame(now time.Time, from peer.Identity, f *wire.Frame) {
-	switch body := f.GetBody().(type) {
-	case *wire.Frame_Status:
-		c.adoptStatus(now, from, body.Status)
-	case *wire.Frame_Record:
-		r := body.Record
-		c.adoptRecord(now, store.Record{Key: r.GetKey(), Revision: r.GetRevision(), Value: r.GetValue()})
-		c.publish(now)
-		c.sendStatus(now, false)
-	}
-}
-
-func (c *control) adoptStatus(now time.Time, from peer.Identity, s *wire.Status) {
-	stamp := event.Stamp{Wall: time.Unix(0, s.GetStamp().GetWallNanoseconds()).UTC(), Logical: s.GetStamp().GetLogical()}
-	c.log.Observe(stamp, now, maxClockAhead)
-	p := c.peer(from)
-	p.lastSeen = now
-	p.config = s.GetConfigRevision()
-	p.platformUp = s.GetPlatformUp()
-	p.stopped = p.stopped || s.GetStopped()
-	p.failing = s.GetFailing()
-	p.inFlight = make(map[string]int)
-	for _, f := range s.GetInFlight() {
-		p.inFlight[f.GetInstance()] = int(f.GetRequests())
-	}
-	for _, z := range s.GetZones() {
-		p.zones[z.GetZone()] = z.GetRevision()
-	}
-	c.passOn(p)
-}
-
-const (
-	maxClockAhead  = time.Minute
-	behindPatience = 3
-)
-
-// passOn sends a peer the records it lacks when the platform does not deliver them.
-func (c *control) passOn(p *peerState) {
-	var missing []store.Record
-	if c.config != nil && p.config < c.config.Revision {
-		missing = append(missing, c.configRecord)
-	}
-	for name, h := range c.zones {
-		if p.zones[name] < h.zone.Revision {
-			missing = append(missing, h.record)
-		}
-	}
-	if len(missing) == 0 {
-		p.behind = 0
-		return
-	}
-	p.behind++
-	if p.platformUp && p.behind < behindPatience {
-		return
-	}
-	for _, r := range missing {
-		record := &wire.Record{Key: r.Key, Revision: r.Revision, Value: r.Value}
-		c.entry.mesh.Send(p.sender.Incarnation, &wire.Frame{Body: &wire.Frame_Record{Record: record}})
-	}
-}
-
-// sendStatus sends a heartbeat to the peers of the zone and, when far is set, to all others.
-func (c *control) sendStatus(now time.Time, far bool) {
-	c.lastStatus = now
-	if far {
-		c.lastFar = now
-	}
-	frame := &wire.Frame{Body: &wire.Frame_Status{Status: c.status(now)}}
-	for _, p := range c.peers {
-		if p.linked && (far || p.zone == c.entry.settings.Zone) {
-			c.entry.mesh.Send(p.sender.Incarnation, frame)
-		}
-	}
-}
-
-func (c *control) status(now time.Time) *wire.Status {
-	stamp := c.log.Next(now)
-	s := &wire.Status{
-		Stamp:      &wire.Stamp{WallNanoseconds: stamp.Wall.UnixNano(), Logical: stamp.Logical},
-		PlatformUp: c.platformUp,
-		Stopped:    c.finished,
-		Failing:    c.entry.proxy.Failing(),
-	}
-	if c.config != nil {
-		s.ConfigRevision = c.config.Revision
-	}
-	for name, h := range c.zones {
-		s.Zones = append(s.Zones, &wire.ZoneRevision{Zone: name, Revision: h.zone.Revision})
-	}
-	for name, n := range c.entry.proxy.InFlight() {
-		s.InFlight = append(s.InFlight, &wire.InFlight{Instance: name, Requests: uint32(n)})
-	}
-	return s
-}
--- a/io/entry/planner.go
+++ b/io/entry/planner.go
@@ -103,7 +103,7 @@
 	if c.planner.holder != c.entry.self.Incarnation {
 		return
 	}
-	c.planner.unsure = true
+	c.planner.unsure, c.planner.changed, c.planner.retryAt = true, true, now
 	c.note(now, event.Event{Kind: event.PlannerElected})
 }
 
@@ -166,7 +166,7 @@
 }
 
 func (c *control) zoneWritten(now time.Time, m zoneWritten) {
-	c.planner.busy = false
+	c.planner.busy, c.planner.changed = false, true
 	c.planner.unsure = m.outcome == store.Unsettled
 	if m.outcome == store.Unsettled {
 		return
