Notice a watch that silently delivers nothing

Cause: a watch that hangs and answers empty looked like a quiet platform; a published configuration was then never in force (silent watches were on the list of what is not proved). After an empty watch, now of 2 s, the configuration and the own zone's record are read with their revision as validator; unchanged ones cost 304 and no body. Before: TestSilentWatchIsNoticed does not end. After: it passes, in force within one watch of 2 s, under the bound of 4 s.

--- a/io/entry/adopt.go
+++ b/io/entry/adopt.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"strings"
 	"time"
 
 	"daisysaddle/core/config"
@@ -57,6 +58,14 @@
 	}
 }
 
+// revisionOf returns the platform's revision of the configuration or zone record in force.
+func (c *control) revisionOf(key string) uint64 {
+	if key == keyConfig {
+		return c.configRecord.Revision
+	}
+	return c.zones[strings.TrimPrefix(key, prefixZone)].record.Revision
+}
+
 func (c *control) adoptConfig(now time.Time, r store.Record) {
 	if r.Revision <= c.configRecord.Revision {
 		return
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -170,6 +170,10 @@
 	switch m := m.(type) {
 	case batchArrived:
 		c.adoptBatch(now, m.batch)
+	case recordRead:
+		if m.record.Revision > c.revisionOf(m.record.Key) {
+			c.adoptBatch(now, store.Batch{Records: []store.Record{m.record}})
+		}
 	case platformChanged:
 		c.setPlatform(now, m.up)
 	case listArrived:
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -139,6 +139,18 @@
 	})
 }
 
+// TestSilentWatchIsNoticed lets the platform's watches deliver nothing.
+func TestSilentWatchIsNoticed(t *testing.T) {
+	s := newSite(t)
+	e, _ := s.start("e1")
+	eventually(t, e, ready)
+	s.platform.SetFaults(stand.Faults{SilentWatch: true})
+	s.publish(append(s.files, config.File{Name: "20.ini", Text: "[Leave l]\nInstances = i0\n"})...)
+	eventually(t, e, func(st entry.Status) bool {
+		return st.ConfigRevision == 2 && st.ZoneRecord.Find("i0").State == fleet.Returned
+	})
+}
+
 // TestRetirementUnderLostAnswers loses every second answer of the platform.
 func TestRetirementUnderLostAnswers(t *testing.T) {
 	s := newSite(t)
--- a/io/entry/message.go
+++ b/io/entry/message.go
@@ -13,6 +13,9 @@
 
 type batchArrived struct{ batch store.Batch }
 
+// recordRead is a record that was read apart from the watch.
+type recordRead struct{ record store.Record }
+
 type platformChanged struct{ up bool }
 
 type listArrived struct{ listing store.Listing }
--- a/io/entry/platform.go
+++ b/io/entry/platform.go
@@ -13,11 +13,10 @@
 )
 
 const (
-	watchHold       = 5 * time.Second
-	listPeriod      = time.Second
-	watchStaleAfter = 3 * watchHold
-	renewFraction   = 3 // renewals in each lease duration
-	defaultLease    = 5 * time.Second
+	watchHold     = 2 * time.Second
+	listPeriod    = time.Second
+	renewFraction = 3 // renewals in each lease duration
+	defaultLease  = 5 * time.Second
 )
 
 // runPlatform keeps the watch, the lease and the list of instances up to date.
@@ -50,6 +49,17 @@
 		after = batch.Revision
 		if len(batch.Records)+len(batch.Deleted) > 0 {
 			e.control.send(batchArrived{batch})
+			continue
+		}
+		e.verifyWatch(ctx)
+	}
+}
+
+// verifyWatch reads the records that must be in force soon, in case the watch silently delivers nothing.
+func (e *Entry) verifyWatch(ctx context.Context) {
+	for _, key := range []string{keyConfig, KeyZone(e.settings.Zone)} {
+		if record, err := e.client.Get(ctx, key, store.Informational); err == nil && record.Revision > 0 {
+			e.control.send(recordRead{record})
 		}
 	}
 }
--- a/io/stand/server.go
+++ b/io/stand/server.go
@@ -59,6 +59,12 @@
 
 func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
 	record, err := p.Get(r.Context(), r.PathValue("key"))
+	etag := store.ETag(record.Revision)
+	w.Header().Set("ETag", etag)
+	if err == nil && record.Revision > 0 && r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	answer(w, record, err)
 }
 
--- a/io/store/http.go
+++ b/io/store/http.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"strconv"
 	"sync"
 	"time"
 
@@ -21,7 +22,8 @@
 	client *http.Client
 
 	mu      sync.Mutex
-	listing Listing // the last list, with its validator
+	records map[string]Record // the last value read of each key, with its revision as validator
+	listing Listing           // the last list, with its validator
 	etag    string
 }
 
@@ -50,12 +52,54 @@
 	return &HTTP{base: "http://" + address.String() + "/v1", client: &http.Client{Transport: transport}}
 }
 
-// Get reads one key.
+// Get reads one key, or only its revision when it has not changed since it was last read.
 func (h *HTTP) Get(ctx context.Context, key string) (Record, error) {
-	var r Record
-	err := h.call(ctx, http.MethodGet, "/key/"+url.PathEscape(key), nil, &r)
-	r.Key = key
-	return r, err
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+"/key/"+url.PathEscape(key), nil)
+	if err != nil {
+		return Record{}, errors.Wrap(err, "make platform call")
+	}
+	known := h.known(key)
+	if known.Revision > 0 {
+		request.Header.Set("If-None-Match", ETag(known.Revision))
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return Record{}, errors.Mark(errors.Wrapf(err, "get %s", key), ErrUnavailable)
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusNotModified {
+		return known, nil
+	}
+	if err := statusError(response.StatusCode); err != nil {
+		return Record{}, errors.Wrapf(err, "get %s: status %d", key, response.StatusCode)
+	}
+	record := Record{}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxPlatformAnswerSize)).Decode(&record); err != nil {
+		return Record{}, errors.Mark(errors.Wrapf(err, "get %s: decode answer", key), ErrUnavailable)
+	}
+	record.Key = key
+	h.remember(record)
+	return record, nil
+}
+
+// ETag returns the validator of a record's revision.
+func ETag(revision uint64) string {
+	return strconv.Quote(strconv.FormatUint(revision, 10))
+}
+
+func (h *HTTP) known(key string) Record {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.records[key]
+}
+
+func (h *HTTP) remember(r Record) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.records == nil {
+		h.records = make(map[string]Record)
+	}
+	h.records[r.Key] = r
 }
 
 // Swap writes a key if its revision is still expect.
