Free the slot of a request that waits on a silent connection

A suspected request gives up its slot and stays in flight, so a leaving instance still waits for it; a target that does run it refuses one too many truthfully. Conclusion: patience costs the request its time and nobody else a slot.

--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -12,13 +12,14 @@
 
 // Target is one instance to which a dispatcher may send requests.
 type Target struct {
-	Name     string
-	Slots    int
-	Accepts  bool // new work may be sent
-	Share    route.Share
-	Health   eject.Target
-	InFlight int
-	Carrier  any // what the caller needs to reach the target
+	Name      string
+	Slots     int
+	Accepts   bool // new work may be sent
+	Share     route.Share
+	Health    eject.Target
+	InFlight  int
+	Suspected int // of those in flight, requests on connections that are probably silent
+	Carrier   any // what the caller needs to reach the target
 }
 
 // Request is one request on its way to a target.
@@ -98,7 +99,7 @@
 	d.candidates = d.candidates[:0]
 	for _, t := range d.Targets {
 		d.candidates = append(d.candidates, route.Target{
-			InFlight: t.InFlight,
+			InFlight: t.InFlight - t.Suspected,
 			Limit:    t.Share.Limit(now),
 			Weight:   t.Health.Weight(),
 			Excluded: !t.Accepts || t == avoid || !d.group.Usable(now, &t.Health),
@@ -225,6 +226,13 @@
 	}
 }
 
+// Suspect frees the slot of a request whose connection is probably silent, while the request goes on
+// waiting and stays in flight. A target that does run it refuses the one too many truthfully.
+func (d *Dispatcher) Suspect(now time.Time, t *Target) {
+	t.Suspected++
+	d.admitNext(now)
+}
+
 // Release returns a target with the evidence of the attempt and reports whether its standing changed.
 func (d *Dispatcher) Release(now time.Time, t *Target, took time.Duration, e Evidence) (eject.Verdict, bool) {
 	t.InFlight--
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -20,6 +20,7 @@
 	id      string
 	silence time.Duration                      // zero on peer links, which notice silence by their own heartbeats
 	patient bool                               // wait for the answer even on a suspected connection, because the request may not run again
+	suspect func()                             // called once when a patient request's connection is suspected
 	inform  func(code int, header http.Header) // passes on an informational answer
 
 	conn   atomic.Pointer[conn]
@@ -122,6 +123,15 @@
 	return a.over
 }
 
+// suspectOnce reports the suspicion unless the attempt has ended.
+func (a *attempt) suspectOnce() {
+	a.informing.Lock()
+	defer a.informing.Unlock()
+	if !a.over {
+		a.suspect()
+	}
+}
+
 // watchSilence checks for silence again and again until the answer's header has come.
 func (a *attempt) watchSilence(cancel context.CancelFunc) {
 	time.AfterFunc(a.silence, func() {
@@ -140,6 +150,7 @@
 	}
 	if a.patient {
 		a.pool.retireOlder(c)
+		a.suspectOnce()
 		return true
 	}
 	a.gaveUp.Store(true)
--- a/io/proxy/dispatch.go
+++ b/io/proxy/dispatch.go
@@ -51,8 +51,9 @@
 
 // grant is the right to send one request to a target.
 type grant struct {
-	target *flow.Target
-	began  time.Time
+	target    *flow.Target
+	began     time.Time
+	suspected bool
 }
 
 // admission is the decision on a request that had to wait.
@@ -116,6 +117,14 @@
 	return &grant{target: a.target, began: time.Now()}, ""
 }
 
+// suspect frees the slot of a request that goes on waiting on a connection that is probably silent.
+func (d *dispatcher) suspect(g *grant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g.suspected = true
+	d.flow.Suspect(time.Now(), g.target)
+}
+
 // release returns a target with the evidence of its attempt and reports a change of its standing.
 func (d *dispatcher) release(g *grant, now time.Time, e flow.Evidence) (eject.Verdict, bool) {
 	d.mu.Lock()
@@ -123,6 +132,9 @@
 	if e == flow.Busy {
 		d.counters.Refusals++
 	}
+	if g.suspected {
+		g.target.Suspected--
+	}
 	verdict, changed := d.flow.Release(now, g.target, now.Sub(g.began), e)
 	if changed && verdict == eject.Ejected {
 		d.counters.Ejections++
--- a/io/proxy/exchange.go
+++ b/io/proxy/exchange.go
@@ -181,22 +181,22 @@
 // tryTarget sends one attempt to the granted target.
 func (x *exchange) tryTarget(ctx context.Context, g *grant) result {
 	c := carrierOf(g.target)
-	return x.try(ctx, c.pool, c.spec.Instance.Address.String(), hopNone)
+	return x.try(ctx, c.pool, c.spec.Instance.Address.String(), hopNone, func() { x.dispatcher.suspect(g) })
 }
 
 // silenceFactor is the number of typical service times after which a request is unusually slow.
 const silenceFactor = 8
 
 func (x *exchange) tryPeer(ctx context.Context, to fleet.Sender, h hop) result {
-	return x.try(ctx, x.proxy.peers.get(x.proxy.Links, to), to.Name, h)
+	return x.try(ctx, x.proxy.peers.get(x.proxy.Links, to), to.Name, h, func() {})
 }
 
-func (x *exchange) try(ctx context.Context, pool *connPool, host string, h hop) result {
+func (x *exchange) try(ctx context.Context, pool *connPool, host string, h hop, suspect func()) result {
 	id := x.meta.id
 	if h == hopNone {
 		id = fmt.Sprintf("%s-%d", x.proxy.Self.Incarnation, x.proxy.attempts.Add(1))
 	}
-	a := &attempt{pool: pool, id: id, inform: x.inform}
+	a := &attempt{pool: pool, id: id, suspect: suspect, inform: x.inform}
 	if h == hopNone {
 		a.silence = max(x.dispatcher.settings().SilenceTimeout, silenceFactor*x.dispatcher.expected())
 		a.patient = !x.meta.idempotent
--- a/io/proxy/fault_test.go
+++ b/io/proxy/fault_test.go
@@ -501,3 +501,55 @@
 	must.Eq(t, "ok", text)
 	must.Eq(t, 2, target.executions.Load())
 }
+
+// TestSuspectedConnectionHoldsNoSlot silences the only slot's connection under a request that may
+// not run again; others must go on, and the instance must still count it as in flight.
+func TestSuspectedConnectionHoldsNoSlot(t *testing.T) {
+	hold := make(chan struct{})
+	target := newRawTarget(t, func(s *session) {
+		for n := 0; ; n++ {
+			r, ok := s.request()
+			if !ok {
+				return
+			}
+			if s.number == 1 && n > 0 {
+				<-hold
+				return
+			}
+			s.answer(r.Header.Get("Own"))
+		}
+	})
+	var table Table
+	p, server := newProxy(t, func(full *Table) {
+		full.Routes[0].Targets[0].Share.Slots = 2
+		table = *full
+	}, target.address())
+	_, _, err := ask(t, server, http.MethodPut, "", "Own", "warm")
+	must.NoError(t, err)
+	var stuck errgroup.Group
+	stuck.Go(func() error {
+		_, _, err := ask(t, server, http.MethodPost, "x")
+		return err
+	})
+	for target.executions.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	d := p.dispatchers[testService]
+	suspected := func() int {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.flow.Targets[0].Suspected
+	}
+	for suspected() == 0 {
+		_, text, err := ask(t, server, http.MethodPut, "", "Own", "fresh")
+		must.NoError(t, err)
+		must.Eq(t, "fresh", text)
+	}
+	table.Routes[0].Targets[0].Accepts = false
+	must.NoError(t, p.Update(time.Now(), table))
+	must.Eq(t, map[string]int{"i0": 1}, p.InFlight())
+	close(hold)
+	must.NoError(t, stuck.Wait())
+	must.Zero(t, suspected())
+	must.MapEmpty(t, p.InFlight())
+}
--- a/io/scale/entries.go
+++ b/io/scale/entries.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -186,12 +187,14 @@
 	Direct, Through         time.Duration // median
 	Direct99, Through99     time.Duration
 	DirectRate, ThroughRate float64 // requests per second with parallel callers
+	Allocations             float64 // added to a request by the entry
+	AllocationsLarge        float64 // the same with the configuration of the size designed for
 }
 
 // String formats the cost as key=value pairs.
 func (h HopCost) String() string {
-	return fmt.Sprintf("Quantity=HopCost DirectP50=%s ThroughP50=%s AddedP50=%s DirectP99=%s ThroughP99=%s AddedP99=%s DirectRate=%.0f ThroughRate=%.0f Ratio=%.2f",
-		h.Direct, h.Through, h.Through-h.Direct, h.Direct99, h.Through99, h.Through99-h.Direct99, h.DirectRate, h.ThroughRate, h.ThroughRate/h.DirectRate)
+	return fmt.Sprintf("Quantity=HopCost DirectP50=%s ThroughP50=%s AddedP50=%s DirectP99=%s ThroughP99=%s AddedP99=%s DirectRate=%.0f ThroughRate=%.0f Ratio=%.2f Allocations=%.0f AllocationsAtDesign=%.0f",
+		h.Direct, h.Through, h.Through-h.Direct, h.Direct99, h.Through99, h.Through99-h.Direct99, h.DirectRate, h.ThroughRate, h.ThroughRate/h.DirectRate, h.Allocations, h.AllocationsLarge)
 }
 
 const (
@@ -209,36 +212,52 @@
 	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })}
 	var group errgroup.Group
 	group.Go(func() error { _ = server.Serve(target); return nil })
-	text := "[Deployment]\nName = scale\n[Zone z]\nRegion = r\n[Service s]\n[Pool p]\nService = s\n[Instance i]\nAddress = " + target.Addr().String() + "\nZone = z\nRack = r\nPool = p\nSlots = 64\n"
-	d, err := start(ctx, []config.File{{Name: "10.ini", Text: text}}, 1)
-	if err != nil {
-		return cost, errors.CombineErrors(err, server.Close())
-	}
-	direct, through := "http://"+target.Addr().String(), "http://"+d.entries[0].Address().String()
+	alone := config.File{Name: "20-hop.ini", Text: "[Service s]\n[Pool p]\nService = s\n[Instance i]\nAddress = " + target.Addr().String() + "\nZone = zone0\nRack = r\nPool = p\nSlots = 64\n"}
+	small := config.File{Name: "10.ini", Text: "[Deployment]\nName = scale\n[Zone zone0]\nRegion = r\n"}
+	direct := "http://" + target.Addr().String()
 	cost.Direct, cost.Direct99, cost.DirectRate = drive(direct)
-	cost.Through, cost.Through99, cost.ThroughRate = drive(through)
-	err = errors.CombineErrors(d.stop(), server.Close())
+	base := allocations(direct)
+	err = throughEntry(ctx, []config.File{small, alone}, func(address string) {
+		cost.Through, cost.Through99, cost.ThroughRate = drive(address)
+		cost.Allocations = allocations(address) - base
+	})
+	if err == nil {
+		err = throughEntry(ctx, append(files(designInstances), alone), func(address string) {
+			cost.AllocationsLarge = allocations(address) - base
+		})
+	}
+	err = errors.CombineErrors(err, server.Close())
 	return cost, errors.CombineErrors(err, group.Wait())
 }
 
+// throughEntry runs measure against one entry with the given configuration.
+func throughEntry(ctx context.Context, files []config.File, measure func(address string)) error {
+	d, err := start(ctx, files, 1)
+	if err != nil {
+		return err
+	}
+	measure("http://" + d.entries[0].Address().String())
+	return d.stop()
+}
+
+// allocations returns the heap allocations of the whole process for one request, callers and target included.
+func allocations(address string) float64 {
+	call := caller(address)
+	for range hopCalls / 4 {
+		call()
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range hopCalls {
+		call()
+	}
+	runtime.ReadMemStats(&after)
+	return float64(after.Mallocs-before.Mallocs) / hopCalls
+}
+
 // drive measures latency with one caller and rate with several.
 func drive(address string) (p50, p99 time.Duration, rate float64) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: hopParallel}}
-	call := func() time.Duration {
-		request, err := http.NewRequest(http.MethodGet, address+"/x", strings.NewReader(""))
-		if err != nil {
-			return math.MaxInt64
-		}
-		request.Header.Set(proxy.HeaderService, "s")
-		before := time.Now()
-		response, err := client.Do(request)
-		if err != nil {
-			return math.MaxInt64
-		}
-		_, _ = io.Copy(io.Discard, response.Body)
-		_ = response.Body.Close()
-		return time.Since(before)
-	}
+	call := caller(address)
 	for range hopCalls / 4 {
 		call()
 	}
@@ -260,3 +279,23 @@
 	rate = hopCalls * hopParallel / time.Since(began).Seconds()
 	return took[len(took)/2], took[len(took)*99/100], rate
 }
+
+// caller returns a function that makes one call and returns how long it took.
+func caller(address string) func() time.Duration {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: hopParallel}}
+	return func() time.Duration {
+		request, err := http.NewRequest(http.MethodGet, address+"/x", strings.NewReader(""))
+		if err != nil {
+			return math.MaxInt64
+		}
+		request.Header.Set(proxy.HeaderService, "s")
+		before := time.Now()
+		response, err := client.Do(request)
+		if err != nil {
+			return math.MaxInt64
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		return time.Since(before)
+	}
+}
