--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -99,6 +99,20 @@
 	must.ErrorContains(t, err, "at least 16")
 }
 
+// openRaw opens the control stream of a link whose bytes the test chooses.
+func openRaw(t *testing.T, to *node) (*yamux.Session, net.Conn) {
+	t.Helper()
+	keys, err := Keys("d", goodSecret)
+	must.NoError(t, err)
+	conn, err := tls.Dial("tcp", to.address.String(), keys)
+	must.NoError(t, err)
+	session, err := yamux.Client(conn, sessionConfig())
+	must.NoError(t, err)
+	stream, err := session.Open()
+	must.NoError(t, err)
+	return session, stream
+}
+
 // TestBadPeers sends what no entry sends; the link must close and others must still be served.
 func TestBadPeers(t *testing.T) {
 	cases := []struct {
@@ -112,15 +126,8 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			b := newNode(t, "b", goodSecret)
-			keys, err := Keys("d", goodSecret)
-			must.NoError(t, err)
-			conn, err := tls.Dial("tcp", b.address.String(), keys)
-			must.NoError(t, err)
-			session, err := yamux.Client(conn, sessionConfig())
-			must.NoError(t, err)
-			stream, err := session.Open()
-			must.NoError(t, err)
-			_, err = stream.Write(c.send)
+			session, stream := openRaw(t, b)
+			_, err := stream.Write(c.send)
 			must.NoError(t, err)
 			<-session.CloseChan()
 			must.SliceEmpty(t, b.mesh.Peers())
@@ -133,14 +140,7 @@
 
 func TestOldVersionIsRefused(t *testing.T) {
 	b := newNode(t, "b", goodSecret)
-	keys, err := Keys("d", goodSecret)
-	must.NoError(t, err)
-	conn, err := tls.Dial("tcp", b.address.String(), keys)
-	must.NoError(t, err)
-	session, err := yamux.Client(conn, sessionConfig())
-	must.NoError(t, err)
-	stream, err := session.Open()
-	must.NoError(t, err)
+	session, stream := openRaw(t, b)
 	l := &link{control: stream}
 	hello := &wire.Hello{Version: protocolVersion + 1, Deployment: "d", Sender: &wire.Sender{Name: "a", Incarnation: "a"}}
 	must.NoError(t, l.write(&wire.Frame{Body: &wire.Frame_Hello{Hello: hello}}))
