Keep the request id when a caller names it as a connection option

Cause: found on reading the change again. Headers named by Connection are dropped before a request is forwarded, the Idempotency-Key too; its owner then saw no id and ran every attempt. RFC 9110 forbids callers to name such a field, but at-most-once must not hang on that. The headers that decide how a request is run are now kept. Before: TestConnectionOptionsCannotDropTheRequestID fails, four attempts at two entries run more than once. After: they run once. Other tests are as before. Conclusion: what an entry reads of a request, its owner reads too.

--- a/io/proxy/exchange.go
+++ b/io/proxy/exchange.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -247,11 +248,17 @@
 
 var hopHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
 
+// endToEndHeaders decide how a request is run; no connection option may drop them between entries.
+var endToEndHeaders = []string{HeaderService, HeaderTeam, HeaderIdempotent, HeaderTimeout, HeaderPriority, HeaderID}
+
 // removeHopHeaders drops the headers that concern one connection only.
 func removeHopHeaders(h http.Header) {
 	for _, value := range h["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			h.Del(strings.TrimSpace(name))
+		for option := range strings.SplitSeq(value, ",") {
+			name := http.CanonicalHeaderKey(strings.TrimSpace(option))
+			if !slices.Contains(endToEndHeaders, name) {
+				h.Del(name)
+			}
 		}
 	}
 	for _, name := range hopHeaders {
--- a/io/proxy/hop_test.go
+++ b/io/proxy/hop_test.go
@@ -126,3 +126,25 @@
 	must.Eq(t, 1, cut.executions.Load())
 	must.Zero(t, target.executions.Load())
 }
+
+// TestConnectionOptionsCannotDropTheRequestID names the id as a connection option, which a forwarding
+// entry would otherwise strip before the owner sees it.
+func TestConnectionOptionsCannotDropTheRequestID(t *testing.T) {
+	target := newRawTarget(t, func(s *session) {
+		for {
+			if _, ok := s.request(); !ok {
+				return
+			}
+			s.answer("once")
+		}
+	})
+	servers, _ := twoEntries(t, target)
+	id := newID()
+	for range 2 {
+		for _, server := range servers {
+			_, _, err := ask(t, server, http.MethodPost, "x", HeaderID, id, "Connection", HeaderID)
+			must.NoError(t, err)
+		}
+	}
+	must.Eq(t, 1, target.executions.Load())
+}
