Remove what nothing uses

Behaviour and tests are unchanged. Conclusion: five small functions that wait for a time or a context remain alike; core may hold no clock and io has no shared place for one yet.

--- a/core/jobs/plan.go
+++ b/core/jobs/plan.go
@@ -15,8 +15,8 @@
 	s.cancel()
 	s.vacate()
 	for _, j := range s.waiting() {
-		if w := s.firstFit(j, s.evidence.Size(j, Resources{})); w != "" {
-			s.start(j, w)
+		if w := s.firstFit(j.Declared); w != "" {
+			s.startSized(j, w, j.Declared)
 		}
 	}
 	return s.actions
@@ -224,17 +224,13 @@
 	s.startSized(j, worker, size)
 }
 
-func (s *step) start(j Job, worker string) {
-	s.startSized(j, worker, s.evidence.Size(j, Resources{}))
-}
-
 func (s *step) startSized(j Job, worker string, size Resources) {
 	s.act(Start, j.Name, worker, ReasonPlaced)
 	s.free[worker] = s.free[worker].Sub(size)
 	s.used[j.Team] = s.used[j.Team].Add(size)
 }
 
-func (s *step) firstFit(_ Job, size Resources) string {
+func (s *step) firstFit(size Resources) string {
 	for _, w := range s.view.Workers {
 		if free, usable := s.free[w.Name]; usable && size.Fits(free) {
 			return w.Name
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -58,7 +58,6 @@
 	listing      store.Listing
 	lease        string
 	platformUp   bool
-	platformSeen time.Time
 	planner      plannerState
 	stopping     bool
 	finished     bool
@@ -221,9 +220,6 @@
 }
 
 func (c *control) setPlatform(now time.Time, up bool) {
-	if up {
-		c.platformSeen = now
-	}
 	if up == c.platformUp {
 		return
 	}
--- a/io/proxy/conn.go
+++ b/io/proxy/conn.go
@@ -149,13 +149,6 @@
 	return len(old)
 }
 
-// size returns the number of open connections.
-func (p *connPool) size() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.conns)
-}
-
 // close ends all idle connections.
 func (p *connPool) close() {
 	p.transport.CloseIdleConnections()
--- a/io/proxy/meta.go
+++ b/io/proxy/meta.go
@@ -22,7 +22,6 @@
 	HeaderReason     = "Daisysaddle-Reason"
 	HeaderZone       = "Daisysaddle-Zone"
 	HeaderAttempt    = "Daisysaddle-Attempt" // echoed by targets that can, to tie an answer to its request
-	HeaderDeadline   = "Daisysaddle-Deadline"
 	headerHop        = "Daisysaddle-Hop"
 )
 
--- a/io/proxy/owner.go
+++ b/io/proxy/owner.go
@@ -92,7 +92,6 @@
 // owners decides which entry may run a request id and remembers the ids of this one.
 type owners struct {
 	self fleet.Sender
-	zone string
 
 	mu     sync.Mutex
 	memory once.Memory
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -82,7 +82,7 @@
 // New returns a proxy that refuses every request until the first Update.
 func New(self fleet.Sender, zone string, links Links, events func(event.Event)) *Proxy {
 	p := &Proxy{Self: self, Zone: zone, Links: links, Events: events, dispatchers: make(map[string]*dispatcher)}
-	p.owners = owners{self: self, zone: zone}
+	p.owners = owners{self: self}
 	p.table.Store(&Table{})
 	return p
 }
