--- /dev/null
+++ b/io/node/control.go
@@ -0,0 +1,263 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"daisysaddle/core/sched"
+	"daisysaddle/io/store"
+)
+
+// control is the owner's control loop: one goroutine owns the state, and events are functions
+// that it runs.
+type control struct {
+	node      *Node
+	ctx       context.Context
+	quit      context.CancelCauseFunc
+	fence     uint64
+	state     *sched.State
+	events    chan func(now time.Time)
+	saves     *store.Batcher
+	saving    context.Context // outlives the ownership, so that saves under way can end; the guard keeps them safe
+	group     errgroup.Group
+	confirmed atomic.Pointer[time.Time]
+	revisions map[string]uint64 // of the progress records
+	listing   bool              // the list of machines is being read
+	ready     atomic.Bool       // all that is durable was read
+}
+
+const (
+	eventBacklog    = 4096
+	workersEvery    = 400 * time.Millisecond // well inside the time to notice that a worker drains (2 s)
+	intakePause     = 250 * time.Millisecond // jobs that an entry stored without the owner are rare
+	forgetEvery     = 10 * time.Second
+	flushPatience   = 400 * time.Millisecond // an owner that stops lets its last saves end
+	eventsAtOnce    = 512
+	orderTimeout    = 600 * time.Millisecond // far beyond a sound worker's answer (2 ms), within a task's length
+	machineTimeout  = 1500 * time.Millisecond
+	planGap         = 2 * time.Millisecond // events gather this long, so that plans stay cheap under load
+	lookExtraWait   = 700 * time.Millisecond
+	adviceExtraWait = time.Second
+)
+
+func (n *Node) newControl(ctx context.Context, o ownership) *control {
+	c := &control{node: n, fence: o.revision, saving: ctx, events: make(chan func(time.Time), eventBacklog), revisions: make(map[string]uint64)}
+	c.ctx, c.quit = context.WithCancelCause(ctx)
+	c.state = sched.New(n.Now(), o.revision, n.Bounds)
+	c.saves = &store.Batcher{Client: n.Store, Guard: &store.Condition{Key: keyOwner, Revision: o.revision}, Gather: saveGather, Patience: savePatience}
+	return c
+}
+
+// post hands an event to the control loop, unless the ownership has ended.
+func (c *control) post(f func(now time.Time)) {
+	select {
+	case c.events <- f:
+	case <-c.ctx.Done():
+	}
+}
+
+// run loads what is durable and carries out plans until the ownership ends.
+func (c *control) run() {
+	n := c.node
+	intake, err := c.load()
+	if err != nil {
+		c.quit(err)
+		return
+	}
+	n.control.Store(c)
+	defer n.control.CompareAndSwap(c, nil)
+	if config := n.config.Load(); config != nil {
+		c.state.SetConfig(config.Config)
+	}
+	n.mu.Lock()
+	for _, w := range n.waves {
+		c.state.AddWave(n.Now(), w)
+	}
+	n.mu.Unlock()
+	c.ready.Store(true)
+	c.group.Go(func() error { c.pollWorkers(); return nil })
+	c.group.Go(func() error { c.followIntake(intake); return nil })
+	c.loop()
+	c.flush()
+	_ = c.group.Wait() // the goroutines return no errors
+}
+
+func (c *control) loop() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	forgot := c.node.Now()
+	for c.ctx.Err() == nil {
+		select {
+		case <-c.ctx.Done():
+			return
+		case f := <-c.events:
+			f(c.node.Now())
+		case <-timer.C:
+		}
+		pause(c.ctx, planGap)
+		c.drain()
+		now := c.node.Now()
+		orders := c.state.Plan(now)
+		if c.state.Deposed() {
+			c.quit(errOutdated)
+			return
+		}
+		c.dispatch(orders)
+		timer.Reset(max(0, orders.Wake.Sub(now)))
+		if now.Sub(forgot) > forgetEvery {
+			forgot = now
+			c.forget(now)
+		}
+	}
+}
+
+// drain runs the events that are there already.
+func (c *control) drain() {
+	for range eventsAtOnce {
+		select {
+		case f := <-c.events:
+			f(c.node.Now())
+		default:
+			return
+		}
+	}
+}
+
+// flush lets saves end after the control loop has.
+func (c *control) flush() {
+	if !errors.Is(context.Cause(c.ctx), errStopping) {
+		return
+	}
+	done := make(chan struct{})
+	c.group.Go(func() error { c.saves.Wait(); close(done); return nil })
+	select {
+	case <-done:
+	case <-time.After(flushPatience):
+	}
+}
+
+// load reads all that is durable; the returned revision is where the intake goes on.
+func (c *control) load() (uint64, error) {
+	var jobs, progress, workers, waves store.Batch
+	read := func(prefix string, into *store.Batch) error {
+		for {
+			batch, err := c.node.Store.Range(c.ctx, prefix, store.Safety)
+			if err == nil {
+				*into = batch
+				return nil
+			}
+			if c.ctx.Err() != nil {
+				return errors.Wrapf(err, "read %s", prefix)
+			}
+			pause(c.ctx, retryPause)
+		}
+	}
+	for _, r := range []struct {
+		prefix string
+		into   *store.Batch
+	}{{keyJobs, &jobs}, {keyState, &progress}, {keyWaves, &waves}, {c.node.Dialect.WorkersPrefix(), &workers}} {
+		if err := read(r.prefix, r.into); err != nil {
+			return 0, err
+		}
+	}
+	states := make(map[string]sched.Progress, len(progress.Records))
+	for _, r := range progress.Records {
+		id := strings.TrimPrefix(r.Key, keyState)
+		c.revisions[id] = r.Revision
+		p, err := sched.DecodeProgress(r.Value)
+		if err != nil {
+			c.node.log("RecordSkipped").Str("Key", r.Key).Err(err).Send()
+			continue
+		}
+		states[id] = p
+	}
+	now := c.node.Now()
+	c.takeJobs(now, jobs.Records, states, true)
+	for _, r := range waves.Records {
+		var s sched.WaveStatus
+		if err := json.Unmarshal(r.Value, &s); err != nil {
+			c.node.log("RecordSkipped").Str("Key", r.Key).Err(err).Send()
+			continue
+		}
+		c.revisions[r.Key] = r.Revision
+		c.state.WaveWas(s)
+	}
+	c.takeWorkers(now, workers)
+	return jobs.Revision, nil
+}
+
+// takeJobs takes in accepted jobs and cancels; jobs come first, because a cancel may lie before its job.
+func (c *control) takeJobs(now time.Time, records []store.Record, states map[string]sched.Progress, inherited bool) {
+	var cancels []string
+	for _, r := range records {
+		if id, is := strings.CutPrefix(r.Key, keyCancel); is {
+			cancels = append(cancels, id)
+			continue
+		}
+		j, err := sched.DecodeJob(r.Value)
+		if err != nil {
+			c.node.log("RecordSkipped").Str("Key", r.Key).Err(err).Send()
+			continue
+		}
+		c.state.AddJob(now, j, states[j.ID], inherited)
+	}
+	for _, id := range cancels {
+		c.state.Cancel(now, id)
+	}
+}
+
+// followIntake takes in what entries stored without the owner.
+func (c *control) followIntake(after uint64) {
+	for c.ctx.Err() == nil {
+		batch, err := c.node.Store.WatchPrefix(c.ctx, keyJobs, after, watchWait)
+		if err == nil && batch.Full {
+			batch, err = c.node.Store.Range(c.ctx, keyJobs, store.Safety)
+		}
+		if err == nil {
+			after = max(after, batch.Revision)
+			if len(batch.Records) > 0 {
+				c.post(func(now time.Time) { c.takeJobs(now, batch.Records, nil, false) })
+			}
+		}
+		pause(c.ctx, intakePause)
+	}
+}
+
+// pollWorkers keeps the list of workers.
+func (c *control) pollWorkers() {
+	for c.ctx.Err() == nil {
+		pause(c.ctx, workersEvery)
+		batch, err := c.node.Store.Range(c.ctx, c.node.Dialect.WorkersPrefix(), store.Safety)
+		if err == nil {
+			c.post(func(now time.Time) { c.takeWorkers(now, batch) })
+		}
+	}
+}
+
+func (c *control) takeWorkers(now time.Time, batch store.Batch) {
+	workers := make([]sched.Worker, 0, len(batch.Records))
+	for _, r := range batch.Records {
+		w, err := c.node.Dialect.Worker(r)
+		if err != nil {
+			c.node.log("RecordSkipped").Str("Key", r.Key).Err(err).Send()
+			continue
+		}
+		workers = append(workers, w)
+	}
+	c.state.SetWorkers(now, workers)
+}
+
+// forget deletes the records of jobs that ended long ago.
+func (c *control) forget(now time.Time) {
+	for _, id := range c.state.Forget(now) {
+		delete(c.revisions, id)
+		change := store.Change{Deletes: []string{keyState + id, keyJobs + id, keyCancel + id}}
+		c.saves.Submit(c.saving, change, func(store.Settlement, error) {}) // what stays is deleted by a later owner
+	}
+}
--- /dev/null
+++ b/io/node/desk.go
@@ -0,0 +1,283 @@
+package node
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"daisysaddle/core/sched"
+	"daisysaddle/io/store"
+)
+
+// Outcome says what became of a caller's request.
+type Outcome string
+
+// Outcomes of a caller's request.
+const (
+	OutcomeDone    Outcome = "Done"
+	OutcomeNotRun  Outcome = "NotRun"  // nothing was done, and nothing will be
+	OutcomeUnknown Outcome = "Unknown" // it may have been done
+	OutcomeUnheard Outcome = "Unheard" // no such job
+)
+
+// Verdict is the answer to a caller.
+type Verdict struct {
+	Outcome    Outcome
+	State      sched.JobState `json:",omitempty"`
+	Waiting    int            `json:",omitempty"`
+	RetryAfter time.Duration  `json:",omitempty"`
+	Reason     string         `json:",omitempty"`
+}
+
+// acceptance is a job that is being accepted here; later requests with its id wait for the same answer.
+type acceptance struct {
+	done    chan struct{}
+	verdict Verdict
+}
+
+const storeRetryAfter = time.Second // the shortest wait that callers understand
+
+// Submit takes in a job: it is accepted once it is durable.
+func (n *Node) Submit(ctx context.Context, j sched.Job) Verdict {
+	if c := n.owning(); c != nil {
+		return c.submit(ctx, j)
+	}
+	if v, err := n.askOwner(ctx, "POST", "/jobs/"+j.ID, j); err == nil {
+		return v
+	}
+	// Without the owner nobody knows the load; the store alone can accept.
+	v, _ := n.accept(ctx, j)
+	return v
+}
+
+// accept stores a job under the condition that its id is new; it returns the job that stands there.
+func (n *Node) accept(ctx context.Context, j sched.Job) (Verdict, sched.Job) {
+	if n.Store.Down(time.Now()) {
+		return Verdict{Outcome: OutcomeNotRun, RetryAfter: storeRetryAfter, Reason: "StoreDown"}, j
+	}
+	value, err := sched.EncodeJob(j)
+	if err != nil {
+		return Verdict{Outcome: OutcomeNotRun, Reason: "NotEncoded"}, j
+	}
+	n.mu.Lock()
+	a := n.accepting[j.ID]
+	if a == nil {
+		a = &acceptance{done: make(chan struct{})}
+		n.accepting[j.ID] = a
+		change := store.Change{
+			Conditions: []store.Condition{{Key: keyJobs + j.ID}},
+			Puts:       []store.Record{{Key: keyJobs + j.ID, Value: value}},
+		}
+		// The write outlives the caller: a job that was sent to the store may be accepted.
+		n.accepts.Submit(context.WithoutCancel(ctx), change, func(s store.Settlement, err error) {
+			a.verdict = n.judge(j, s, err)
+			n.mu.Lock()
+			delete(n.accepting, j.ID)
+			n.mu.Unlock()
+			close(a.done)
+		})
+	}
+	n.mu.Unlock()
+	select {
+	case <-a.done:
+		return a.verdict, j
+	case <-ctx.Done():
+		return Verdict{Outcome: OutcomeUnknown, Reason: "CallerLeft"}, j
+	}
+}
+
+func (n *Node) judge(j sched.Job, s store.Settlement, err error) Verdict {
+	v := Verdict{Outcome: OutcomeDone, State: sched.Pending}
+	switch {
+	case s.Outcome == store.Applied:
+	case s.Outcome == store.Conflicted && len(s.Current) > 0:
+		v.Reason = "Known" // the id was accepted before; it remains one job
+	case s.Sent:
+		v = Verdict{Outcome: OutcomeUnknown, Reason: "StoreUnanswered"}
+	default:
+		v = Verdict{Outcome: OutcomeNotRun, RetryAfter: storeRetryAfter, Reason: "StoreRefused"}
+	}
+	n.log("Accept").Str("Job", j.ID).Str("Queue", j.Queue).Str("Outcome", string(v.Outcome)).Str("Reason", v.Reason).Uint64("Revision", s.Revision).AnErr("Cause", err).Send()
+	n.metrics.accepts.WithLabelValues(string(v.Outcome), v.Reason).Inc()
+	return v
+}
+
+// State returns the state of a job.
+func (n *Node) State(ctx context.Context, id string) Verdict {
+	v := Verdict{Outcome: OutcomeUnheard}
+	err := errNoOwner
+	if c := n.owning(); c != nil {
+		v, err = c.jobState(ctx, id), nil
+	} else {
+		v, err = n.askOwner(ctx, "GET", "/jobs/"+id, nil)
+	}
+	if err == nil && v.Outcome == OutcomeDone {
+		return v
+	}
+	return n.storedState(ctx, id)
+}
+
+// storedState reads the state of a job from the store, where the owner is out of reach or does not know it yet.
+func (n *Node) storedState(ctx context.Context, id string) Verdict {
+	record, err := n.Store.Get(ctx, keyState+id, store.Safety)
+	if err != nil {
+		return Verdict{Outcome: OutcomeUnknown, RetryAfter: storeRetryAfter, Reason: "StoreUnanswered"}
+	}
+	if record.Revision > 0 {
+		p, err := sched.DecodeProgress(record.Value)
+		if err == nil {
+			return Verdict{Outcome: OutcomeDone, State: p.State}
+		}
+		n.log("RecordSkipped").Str("Key", record.Key).Err(err).Send()
+	}
+	record, err = n.Store.Get(ctx, keyJobs+id, store.Safety)
+	switch {
+	case err != nil:
+		return Verdict{Outcome: OutcomeUnknown, RetryAfter: storeRetryAfter, Reason: "StoreUnanswered"}
+	case record.Revision == 0:
+		return Verdict{Outcome: OutcomeUnheard}
+	}
+	return Verdict{Outcome: OutcomeDone, State: sched.Pending}
+}
+
+// Cancel ends a job; it is done once the cancel is durable.
+func (n *Node) Cancel(ctx context.Context, id string) Verdict {
+	v := Verdict{Outcome: OutcomeUnheard}
+	err := errNoOwner
+	if c := n.owning(); c != nil {
+		v, err = c.cancel(ctx, id), nil
+	} else {
+		v, err = n.askOwner(ctx, "DELETE", "/jobs/"+id, nil)
+	}
+	if err == nil && v.Outcome == OutcomeDone {
+		return v
+	}
+	return n.storeCancel(ctx, id)
+}
+
+// storeCancel stores a cancel for the owner to find.
+func (n *Node) storeCancel(ctx context.Context, id string) Verdict {
+	ctx, cancel := context.WithTimeout(ctx, acceptPatience)
+	defer cancel()
+	record, err := n.Store.Get(ctx, keyJobs+id, store.Safety)
+	if err != nil {
+		return Verdict{Outcome: OutcomeNotRun, RetryAfter: storeRetryAfter, Reason: "StoreUnanswered"}
+	}
+	if record.Revision == 0 {
+		return Verdict{Outcome: OutcomeUnheard}
+	}
+	change := store.Change{
+		Conditions: []store.Condition{{Key: keyJobs + id, Revision: record.Revision}, {Key: keyCancel + id}},
+		Puts:       []store.Record{{Key: keyCancel + id, Value: []byte(`{}`)}},
+	}
+	s, err := n.Store.Commit(ctx, change)
+	known := s.Outcome == store.Conflicted && len(s.Current) > 0
+	n.log("Cancel").Str("Job", id).Str("Outcome", string(s.Outcome)).AnErr("Cause", err).Send()
+	if s.Outcome == store.Applied || known {
+		return Verdict{Outcome: OutcomeDone, State: sched.Cancelled}
+	}
+	return Verdict{Outcome: OutcomeUnknown, Reason: "StoreUnanswered"}
+}
+
+// Waiting returns how many jobs of a queue wait.
+func (n *Node) Waiting(ctx context.Context, queue string) Verdict {
+	if c := n.owning(); c != nil {
+		return c.waiting(ctx, queue)
+	}
+	v, err := n.askOwner(ctx, "GET", "/queues/"+queue, nil)
+	if err != nil {
+		return Verdict{Outcome: OutcomeNotRun, RetryAfter: storeRetryAfter, Reason: "OwnerUnanswered"}
+	}
+	return v
+}
+
+// owning returns the control loop when this entry owns the workers.
+func (n *Node) owning() *control {
+	c := n.control.Load()
+	if c == nil || !c.ready.Load() || c.ctx.Err() != nil {
+		return nil
+	}
+	return c
+}
+
+// query runs a function on the control goroutine and returns its verdict.
+func (c *control) query(ctx context.Context, f func(now time.Time) Verdict) Verdict {
+	answer := make(chan Verdict, 1)
+	c.post(func(now time.Time) { answer <- f(now) })
+	select {
+	case v := <-answer:
+		return v
+	case <-ctx.Done():
+		return Verdict{Outcome: OutcomeUnknown, Reason: "CallerLeft"}
+	case <-c.ctx.Done():
+		return Verdict{Outcome: OutcomeUnknown, Reason: "OwnershipEnded"}
+	}
+}
+
+func (c *control) submit(ctx context.Context, j sched.Job) Verdict {
+	v := c.query(ctx, func(now time.Time) Verdict {
+		if _, known := c.state.JobState(j.ID); known {
+			return Verdict{Outcome: OutcomeDone, Reason: "Known"}
+		}
+		if refusal := c.state.Admit(now, j); refusal.Refused {
+			return Verdict{Outcome: OutcomeNotRun, RetryAfter: refusal.RetryAfter, Reason: refusal.Reason}
+		}
+		return Verdict{}
+	})
+	switch {
+	case v.Outcome == OutcomeNotRun:
+		c.node.log("Refuse").Str("Job", j.ID).Str("Queue", j.Queue).Str("Reason", v.Reason).Dur("RetryAfter", v.RetryAfter).Send()
+		c.node.metrics.accepts.WithLabelValues(string(v.Outcome), v.Reason).Inc()
+		return v
+	case v.Outcome == OutcomeDone:
+		return v
+	}
+	v, _ = c.node.accept(ctx, j)
+	if v.Outcome == OutcomeDone && !strings.EqualFold(v.Reason, "Known") {
+		c.post(func(now time.Time) { c.state.AddJob(now, j, sched.Progress{}, false) })
+	}
+	return v
+}
+
+func (c *control) jobState(ctx context.Context, id string) Verdict {
+	return c.query(ctx, func(time.Time) Verdict {
+		state, known := c.state.JobState(id)
+		if !known {
+			return Verdict{Outcome: OutcomeUnheard}
+		}
+		return Verdict{Outcome: OutcomeDone, State: state}
+	})
+}
+
+// cancel ends a job and waits until that is durable.
+func (c *control) cancel(ctx context.Context, id string) Verdict {
+	done := make(chan Verdict, 1)
+	v := c.query(ctx, func(now time.Time) Verdict {
+		if !c.state.Cancel(now, id) {
+			return Verdict{Outcome: OutcomeUnheard}
+		}
+		c.state.WhenShown(id, func(state sched.JobState) { done <- Verdict{Outcome: OutcomeDone, State: state} })
+		return Verdict{Outcome: OutcomeDone}
+	})
+	if v.Outcome != OutcomeDone {
+		return v
+	}
+	c.node.log("Cancel").Str("Job", id).Send()
+	select {
+	case v := <-done:
+		return v
+	case <-ctx.Done():
+	case <-c.ctx.Done():
+	}
+	return Verdict{Outcome: OutcomeUnknown, Reason: "NotStoredInTime"}
+}
+
+func (c *control) waiting(ctx context.Context, queue string) Verdict {
+	return c.query(ctx, func(time.Time) Verdict {
+		return Verdict{Outcome: OutcomeDone, Waiting: c.state.Waiting(queue)}
+	})
+}
+
+var errNoOwner = errors.New("the owner is not known or does not answer")
--- /dev/null
+++ b/io/node/elect.go
@@ -0,0 +1,209 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"daisysaddle/io/store"
+)
+
+// Keys of the entries in the platform's store.
+const (
+	keyOwner  = "daisysaddle/owner"
+	keySecret = "daisysaddle/secret"
+	keyJobs   = "daisysaddle/jobs/"     // accepted jobs, written once
+	keyCancel = "daisysaddle/jobs/x/"   // cancels that an entry stored without the owner
+	keyState  = "daisysaddle/progress/" // written by the owner only
+	keyWaves  = "daisysaddle/waves/"    // progress of maintenance waves
+)
+
+// ownership is the record of the entry that owns the workers.
+type ownership struct {
+	Name        string
+	Incarnation string
+	Claim       string // unique to the claim, so that a lost answer can be settled
+	Peer        netip.AddrPort
+	revision    uint64
+}
+
+const (
+	ownerLease   = 2400 * time.Millisecond // a dead owner is replaced after this long
+	renewEvery   = ownerLease / 3
+	ownerPatient = 6 * time.Second // an owner that can't reach the platform gives up after this long
+	claimWait    = 2 * time.Second
+)
+
+// Reasons why an ownership ended.
+var (
+	errStopping  = errors.New("the entry stops")
+	errLeaseLost = errors.New("the lease of the ownership has ended")
+	errReplaced  = errors.New("another entry owns the workers")
+	errCutOff    = errors.New("the platform did not answer for too long")
+	errOutdated  = errors.New("a worker has seen a higher fencing token")
+)
+
+// elect follows the ownership record and claims it when there is none.
+func (n *Node) elect(ctx context.Context) {
+	for ctx.Err() == nil {
+		if n.stopping.Load() {
+			<-ctx.Done()
+			return
+		}
+		record, err := n.Store.Get(ctx, keyOwner, store.Safety)
+		switch {
+		case err != nil:
+			pause(ctx, retryPause)
+		case record.Revision == 0:
+			n.noteOwner(nil)
+			if err := n.claim(ctx); err != nil {
+				n.log("ClaimFailed").Err(err).Send()
+				pause(ctx, retryPause)
+			}
+		default:
+			n.followOwner(ctx, record)
+		}
+	}
+}
+
+// followOwner waits until the ownership record changes.
+func (n *Node) followOwner(ctx context.Context, record store.Record) {
+	var o ownership
+	if err := json.Unmarshal(record.Value, &o); err != nil {
+		n.log("RecordSkipped").Str("Key", keyOwner).Err(err).Send()
+	}
+	o.revision = record.Revision
+	n.noteOwner(&o)
+	if _, err := n.Store.WatchPrefix(ctx, keyOwner, record.Revision, claimWait); err != nil {
+		pause(ctx, retryPause)
+	}
+}
+
+func (n *Node) noteOwner(o *ownership) {
+	old := n.owner.Swap(o)
+	if o != nil && (old == nil || old.revision != o.revision) {
+		n.log("OwnerKnown").Str("Owner", o.Name).Uint64("Fence", o.revision).Send()
+	}
+}
+
+// claim tries to become the owner, and then owns the workers until that ends.
+func (n *Node) claim(ctx context.Context) error {
+	lease, err := n.Store.Grant(ctx, ownerLease)
+	if err != nil {
+		return err
+	}
+	granted := n.Now()
+	o := ownership{Name: n.Name, Incarnation: n.incarnation, Claim: uuid.NewString(), Peer: n.PeerAddress}
+	value, err := json.Marshal(o)
+	if err != nil {
+		return errors.Wrap(err, "encode the ownership")
+	}
+	change := store.Change{
+		Conditions: []store.Condition{{Key: keyOwner}},
+		Puts:       []store.Record{{Key: keyOwner, Value: value, Lease: lease}},
+	}
+	patience, cancel := context.WithTimeout(ctx, ownerLease)
+	defer cancel()
+	s, err := n.Store.Commit(patience, change)
+	if s.Outcome != store.Applied {
+		if errors.Is(err, store.ErrConflict) {
+			return nil // another entry was faster
+		}
+		return err
+	}
+	o.revision = s.Revision
+	n.noteOwner(&o)
+	n.log("Owner").Uint64("Fence", o.revision).Send()
+	reason := n.own(ctx, o, lease, granted)
+	n.log("OwnerEnds").Uint64("Fence", o.revision).AnErr("Reason", reason).Send()
+	return nil
+}
+
+// own runs the control loop until the ownership ends, and gives it up if it is still held.
+func (n *Node) own(ctx context.Context, o ownership, lease string, granted time.Time) error {
+	c := n.newControl(ctx, o)
+	var group errgroup.Group
+	group.Go(func() error { n.keepLease(c, lease, granted); return nil })
+	group.Go(func() error { n.keepRecord(c, o); return nil })
+	c.run()
+	reason := context.Cause(c.ctx)
+	_ = group.Wait() // the goroutines return no errors
+	if errors.Is(reason, errStopping) || ctx.Err() != nil {
+		n.giveUp(context.WithoutCancel(ctx), lease)
+	}
+	return reason
+}
+
+const giveUpPatience = time.Second
+
+// giveUp ends the lease, so that a successor need not wait for it.
+func (n *Node) giveUp(ctx context.Context, lease string) {
+	ctx, cancel := context.WithTimeout(ctx, giveUpPatience)
+	defer cancel()
+	if err := n.Store.Revoke(ctx, lease); err != nil {
+		n.log("HandoverFailed").Err(err).Send()
+	}
+}
+
+// keepLease renews the lease of the ownership.
+func (n *Node) keepLease(c *control, lease string, confirmed time.Time) {
+	for c.ctx.Err() == nil {
+		pause(c.ctx, renewEvery)
+		sent := n.Now()
+		err := n.Store.Renew(c.ctx, lease)
+		switch {
+		case err == nil:
+			confirmed = sent
+			c.confirmed.Store(&sent)
+		case errors.Is(err, store.ErrNoLease):
+			c.quit(errLeaseLost)
+		case n.Now().Sub(confirmed) > ownerPatient:
+			c.quit(errCutOff)
+		}
+	}
+}
+
+// keepRecord watches for the ownership record being taken away.
+func (n *Node) keepRecord(c *control, o ownership) {
+	for c.ctx.Err() == nil {
+		batch, err := n.Store.WatchPrefix(c.ctx, keyOwner, o.revision, claimWait)
+		if err != nil {
+			pause(c.ctx, retryPause)
+			continue
+		}
+		if batch.Full || len(batch.Deleted)+len(batch.Records) > 0 {
+			record, err := n.Store.Get(c.ctx, keyOwner, store.Safety)
+			if err == nil && record.Revision != o.revision {
+				c.quit(errReplaced)
+			}
+		}
+	}
+}
+
+// sharedSecret returns the secret of the deployment's entries, which the first of them makes.
+func (n *Node) sharedSecret(ctx context.Context) (string, error) {
+	for ctx.Err() == nil {
+		record, err := n.Store.Get(ctx, keySecret, store.Safety)
+		if err == nil && record.Revision > 0 {
+			return string(record.Value), nil
+		}
+		if err == nil {
+			change := store.Change{
+				Conditions: []store.Condition{{Key: keySecret}},
+				Puts:       []store.Record{{Key: keySecret, Value: []byte(uuid.NewString() + uuid.NewString())}},
+			}
+			patience, cancel := context.WithTimeout(ctx, acceptPatience)
+			_, err = n.Store.Commit(patience, change) // a conflict shows in the next read
+			cancel()
+		}
+		if err != nil && !errors.Is(err, store.ErrConflict) {
+			pause(ctx, retryPause)
+		}
+	}
+	return "", ctx.Err()
+}
--- /dev/null
+++ b/io/node/node.go
@@ -0,0 +1,277 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"daisysaddle/core/fleet"
+	"daisysaddle/core/sched"
+	"daisysaddle/io/peer"
+	"daisysaddle/io/store"
+)
+
+// Workers carries orders to workers.
+type Workers interface {
+	Start(ctx context.Context, w sched.Worker, fence uint64, o sched.Start) sched.Answer
+	Stop(ctx context.Context, w sched.Worker, fence uint64, o sched.Stop) sched.Answer
+	Pace(ctx context.Context, w sched.Worker, fence uint64, o sched.Pace) sched.Answer
+	Look(ctx context.Context, w sched.Worker, fence uint64, o sched.Look) sched.Sight
+}
+
+// Machines lists machines and carries orders to them.
+type Machines interface {
+	List(ctx context.Context) ([]sched.Machine, error)
+	Order(ctx context.Context, holder string, fence uint64, o sched.MachineOrder) sched.Answer
+}
+
+// Advisor asks the outside policy which workers may run a step.
+type Advisor interface {
+	Ask(ctx context.Context, a sched.Ask) (sched.Advised, error)
+}
+
+// Dialect decodes what the operator and the workers keep in the platform's store.
+type Dialect interface {
+	OperatorPrefix() string
+	WorkersPrefix() string
+	Operator(r store.Record) (OperatorRecord, error)
+	Worker(r store.Record) (sched.Worker, error)
+	WaveStatus(s sched.WaveStatus) (store.Record, error)
+}
+
+// OperatorRecord is a decoded record of the operator; at most one field is set.
+type OperatorRecord struct {
+	Config *Config
+	Wave   *sched.Wave
+}
+
+// Route sends requests to a queue.
+type Route struct {
+	Host   string
+	Prefix string
+	Queue  string
+}
+
+// Limits are the bounds on callers' connections.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one accepted configuration.
+type Config struct {
+	sched.Config
+	Routes []Route
+	Limits Limits
+}
+
+// Settings are what an entry is told when it starts.
+type Settings struct {
+	Name        string
+	Zone        string
+	Deployment  string
+	PeerAddress netip.AddrPort
+	Bounds      sched.Settings
+}
+
+// Node is one entry.
+type Node struct {
+	Settings
+	Store    *store.Client
+	Workers  Workers
+	Machines Machines // nil when the deployment has none
+	Advisor  Advisor  // nil when the deployment has none
+	Dialect  Dialect
+	Log      zerolog.Logger
+	Now      func() time.Time // a clock that counts suspensions
+
+	incarnation string
+	config      atomic.Pointer[Config]
+	owner       atomic.Pointer[ownership]
+	control     atomic.Pointer[control]
+	stopping    atomic.Bool
+	accepts     *store.Batcher
+	mesh        *peer.Mesh
+	peers       *http.Client
+	metrics     *metrics
+	background  errgroup.Group
+
+	mu        sync.Mutex
+	waves     map[int64]sched.Wave
+	accepting map[string]*acceptance
+}
+
+// Timing of the store's use; the call rates are shared by all entries (400 writes and 2000 reads a second).
+const (
+	acceptGather   = 6 * time.Millisecond    // accepts wait this long for others to share their call
+	acceptPatience = 1500 * time.Millisecond // half of what a caller waits (3 s)
+	saveGather     = 15 * time.Millisecond   // progress waits longer, since no caller waits for it
+	savePatience   = 5 * time.Second
+	watchWait      = 800 * time.Millisecond // with a retry, well inside the time for a configuration to be in force (2 s)
+	retryPause     = 150 * time.Millisecond
+)
+
+// New returns an entry that is not running yet.
+func New(s Settings) *Node {
+	return &Node{Settings: s, metrics: newMetrics()}
+}
+
+// Run serves until ctx ends; it returns once the ownership has been handed over.
+func (n *Node) Run(ctx context.Context) error {
+	n.incarnation = uuid.NewString()
+	n.waves = make(map[int64]sched.Wave)
+	n.accepting = make(map[string]*acceptance)
+	n.accepts = &store.Batcher{Client: n.Store, Gather: acceptGather, Patience: acceptPatience}
+	n.peers = n.peerClient()
+	n.log("Start").Str("Zone", n.Zone).Str("Incarnation", n.incarnation).Send()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { n.watchOperator(ctx); return nil })
+	group.Go(func() error { n.elect(ctx); return nil })
+	group.Go(func() error { return n.servePeers(ctx) })
+	err := group.Wait()
+	_ = n.background.Wait() // the links end with the context
+	n.log("Stop").Err(err).Send()
+	return err
+}
+
+// Stopping makes the entry unready and gives up the ownership.
+func (n *Node) Stopping() {
+	n.stopping.Store(true)
+	if c := n.control.Load(); c != nil {
+		c.quit(errStopping)
+	}
+}
+
+// Ready reports whether the entry should get new connections.
+func (n *Node) Ready() bool { return n.config.Load() != nil && !n.stopping.Load() }
+
+// Config returns the configuration in force, or nil before there is one.
+func (n *Node) Config() *Config { return n.config.Load() }
+
+func (n *Node) log(event string) *zerolog.Event { return n.Log.Info().Str("Event", event) }
+
+// watchOperator keeps the operator's configuration and waves in force.
+func (n *Node) watchOperator(ctx context.Context) {
+	prefix := n.Dialect.OperatorPrefix()
+	up := true
+	for ctx.Err() == nil {
+		batch, err := n.Store.Range(ctx, prefix, store.Safety)
+		if err == nil {
+			n.takeOperator(batch)
+			err = n.followOperator(ctx, prefix, batch.Revision, &up)
+		}
+		if err != nil && up {
+			up = false
+			n.log("StoreLost").Err(err).Send()
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+// operatorReread bounds how long a watch that missed a change can hide it.
+const operatorReread = 5 * time.Second
+
+func (n *Node) followOperator(ctx context.Context, prefix string, after uint64, up *bool) error {
+	began := n.Now()
+	for ctx.Err() == nil && n.Now().Sub(began) < operatorReread {
+		batch, err := n.Store.WatchPrefix(ctx, prefix, after, watchWait)
+		if err != nil {
+			return err
+		}
+		if !*up {
+			*up = true
+			n.log("StoreBack").Send()
+		}
+		n.takeOperator(batch)
+		after = max(after, batch.Revision)
+	}
+	return nil
+}
+
+func (n *Node) takeOperator(batch store.Batch) {
+	for _, r := range batch.Records {
+		decoded, err := n.Dialect.Operator(r)
+		switch {
+		case err != nil:
+			n.log("RecordSkipped").Str("Key", r.Key).Err(err).Send()
+		case decoded.Config != nil:
+			n.takeConfig(decoded.Config)
+		case decoded.Wave != nil:
+			n.takeWave(*decoded.Wave)
+		}
+	}
+}
+
+// takeConfig puts a configuration in force unless a newer one is.
+func (n *Node) takeConfig(c *Config) {
+	old := n.config.Load()
+	if old != nil && old.Version >= c.Version {
+		return
+	}
+	n.config.Store(c)
+	n.log("ConfigInForce").Int64("Version", c.Version).Int("Routes", len(c.Routes)).Send()
+	if o := n.control.Load(); o != nil {
+		o.post(func(time.Time) { o.state.SetConfig(c.Config) })
+	}
+}
+
+func (n *Node) takeWave(w sched.Wave) {
+	n.mu.Lock()
+	_, known := n.waves[w.Number]
+	n.waves[w.Number] = w
+	n.mu.Unlock()
+	if known {
+		return
+	}
+	n.log("WaveAsked").Int64("Wave", w.Number).Int("Machines", len(w.Machines)).Dur("Within", w.Within).Int("Cap", w.Cap).Send()
+	if o := n.control.Load(); o != nil {
+		o.post(func(now time.Time) { o.state.AddWave(now, w) })
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// servePeers links the entries, once the store has given them their common secret.
+func (n *Node) servePeers(ctx context.Context) error {
+	secret, err := n.sharedSecret(ctx)
+	if err != nil {
+		return nil //nolint:nilerr // the context has ended
+	}
+	keys, err := peer.Keys(n.Deployment, secret)
+	if err != nil {
+		return err
+	}
+	listener, err := listen(ctx, n.PeerAddress)
+	if err != nil {
+		return err
+	}
+	sender := fleet.Sender{Name: n.Name, Incarnation: n.incarnation, PeerAddress: n.PeerAddress}
+	mesh := &peer.Mesh{
+		Self: peer.Identity{Deployment: n.Deployment, Zone: n.Zone, Sender: sender}, Keys: keys,
+		Receive: ignoreFrame, Changed: n.peerChanged, Handler: n.peerHandler(),
+	}
+	n.mu.Lock()
+	n.mesh = mesh
+	n.mu.Unlock()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return mesh.Serve(ctx, listener) })
+	group.Go(func() error { n.linkOwner(ctx, mesh); return nil })
+	return errors.Wrap(group.Wait(), "serve peers")
+}
--- /dev/null
+++ b/io/node/orders.go
@@ -0,0 +1,206 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"daisysaddle/core/sched"
+	"daisysaddle/io/store"
+)
+
+// dispatch carries out orders; each answer comes back as an event.
+func (c *control) dispatch(o sched.Orders) {
+	n := c.node
+	for _, note := range o.Notes {
+		n.logNote(c.fence, note)
+	}
+	for _, start := range o.Starts {
+		c.toWorker(start.Worker, orderTimeout, func(ctx context.Context, w sched.Worker) func(time.Time) {
+			sent := time.Now()
+			answer := n.Workers.Start(ctx, w, c.fence, start)
+			n.metrics.order("Start", answer, time.Since(sent))
+			return func(now time.Time) { c.state.StartAnswered(now, start, answer) }
+		})
+	}
+	for _, stop := range o.Stops {
+		c.toWorker(stop.Worker, orderTimeout, func(ctx context.Context, w sched.Worker) func(time.Time) {
+			sent := time.Now()
+			answer := n.Workers.Stop(ctx, w, c.fence, stop)
+			n.metrics.order("Stop", answer, time.Since(sent))
+			return func(now time.Time) { c.state.StopAnswered(now, stop, answer) }
+		})
+	}
+	for _, pace := range o.Paces {
+		c.toWorker(pace.Worker, orderTimeout, func(ctx context.Context, w sched.Worker) func(time.Time) {
+			sent := time.Now()
+			answer := n.Workers.Pace(ctx, w, c.fence, pace)
+			n.metrics.order("Pace", answer, time.Since(sent))
+			return func(now time.Time) { c.state.PaceAnswered(now, pace, answer) }
+		})
+	}
+	for _, look := range o.Looks {
+		c.toWorker(look.Worker, look.Wait+lookExtraWait, func(ctx context.Context, w sched.Worker) func(time.Time) {
+			at := n.Now()
+			sent := time.Now()
+			sight := n.Workers.Look(ctx, w, c.fence, look)
+			sight.Sent = at
+			n.metrics.order("Look", sight.Answer, time.Since(sent))
+			return func(now time.Time) { c.state.Looked(now, look.Worker, sight) }
+		})
+	}
+	for _, save := range o.Saves {
+		c.save(save)
+	}
+	for _, wave := range o.Waves {
+		c.saveWave(wave)
+	}
+	for _, order := range o.Machines {
+		c.toMachine(order)
+	}
+	for _, ask := range o.Asks {
+		c.ask(ask)
+	}
+	if o.ListPool {
+		c.listMachines()
+	}
+}
+
+// toWorker calls a worker in a goroutine of its own and posts the event that the call returns.
+func (c *control) toWorker(id string, timeout time.Duration, call func(context.Context, sched.Worker) func(time.Time)) {
+	w, known := c.state.Worker(id)
+	if !known {
+		return
+	}
+	c.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(c.ctx, timeout)
+		defer cancel()
+		c.post(call(ctx, w))
+		return nil
+	})
+}
+
+// save stores a job's progress under the condition that this entry still owns the workers.
+func (c *control) save(s sched.Save) {
+	value, err := s.Progress.Encode()
+	if err != nil {
+		c.node.log("SaveFailed").Str("Job", s.Job).Err(err).Send()
+		c.state.SaveFailed(s.Job)
+		return
+	}
+	c.put(keyState+s.Job, s.Job, value, func(applied bool) {
+		if applied {
+			c.state.Saved(s.Job, s.Version)
+			return
+		}
+		c.state.SaveFailed(s.Job)
+	})
+}
+
+// put writes a record of the owner; its known revision is kept under name.
+func (c *control) put(key, name string, value []byte, done func(applied bool)) {
+	change := store.Change{
+		Conditions: []store.Condition{{Key: key, Revision: c.revisions[name]}},
+		Puts:       []store.Record{{Key: key, Value: value}},
+	}
+	c.saves.Submit(c.saving, change, func(s store.Settlement, err error) {
+		c.post(func(time.Time) {
+			if s.Outcome == store.Applied {
+				c.revisions[name] = s.Revision
+				done(true)
+				return
+			}
+			for _, r := range s.Current {
+				switch {
+				case r.Key == key:
+					c.revisions[name] = r.Revision // an earlier write took effect without an answer
+				case r.Key == keyOwner && r.Revision != c.fence:
+					c.quit(errReplaced)
+				}
+			}
+			c.node.log("SaveRepeated").Str("Key", key).Str("Outcome", string(s.Outcome)).Err(err).Send()
+			done(false)
+		})
+	})
+}
+
+func (c *control) saveWave(s sched.WaveStatus) {
+	own, err := json.Marshal(s)
+	if err != nil {
+		c.node.log("SaveFailed").Int64("Wave", s.Wave).Err(err).Send()
+		return
+	}
+	status, err := c.node.Dialect.WaveStatus(s)
+	if err != nil {
+		c.node.log("SaveFailed").Int64("Wave", s.Wave).Err(err).Send()
+		return
+	}
+	key := keyWaves + strconv.FormatInt(s.Wave, 10)
+	c.put(key, key, own, func(applied bool) {
+		if !applied {
+			c.state.WaveSaveFailed(s.Wave)
+			return
+		}
+		c.put(status.Key, status.Key, status.Value, func(applied bool) {
+			if !applied {
+				c.state.WaveSaveFailed(s.Wave)
+				return
+			}
+			c.state.WaveSaved(s)
+		})
+	})
+}
+
+func (c *control) toMachine(o sched.MachineOrder) {
+	c.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(c.ctx, machineTimeout)
+		defer cancel()
+		sent := time.Now()
+		answer := c.node.Machines.Order(ctx, c.node.Name, c.fence, o)
+		c.node.metrics.order("Machine", answer, time.Since(sent))
+		c.node.log("MachineOrdered").Str("Machine", o.Machine).Str("Pool", o.Pool).Int64("Wave", o.Wave).Str("Answer", string(answer)).Uint64("Fence", c.fence).Send()
+		c.post(func(now time.Time) { c.state.MachineAnswered(now, o, answer) })
+		return nil
+	})
+}
+
+func (c *control) ask(a sched.Ask) {
+	c.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(c.ctx, adviceExtraWait)
+		defer cancel()
+		advised, err := c.node.Advisor.Ask(ctx, a)
+		if err != nil {
+			c.node.log("AdviceFailed").Str("Task", a.Stage.String()).Err(err).Send()
+		}
+		c.post(func(time.Time) { c.state.Advised(a, advised) })
+		return nil
+	})
+}
+
+func (c *control) listMachines() {
+	if c.listing || c.node.Machines == nil {
+		return
+	}
+	c.listing = true
+	c.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(c.ctx, machineTimeout)
+		defer cancel()
+		list, err := c.node.Machines.List(ctx)
+		c.post(func(now time.Time) {
+			c.listing = false
+			if err != nil {
+				c.node.log("MachinesUnknown").Err(err).Send()
+				return
+			}
+			c.state.SetMachines(now, list)
+		})
+		return nil
+	})
+}
+
+func (n *Node) logNote(fence uint64, note sched.Note) {
+	n.metrics.decisions.WithLabelValues(note.What).Inc()
+	n.log(note.What).Str("Job", note.Job).Int("Occurrence", note.Task.Occurrence).Int("Step", note.Task.Step).Int("Index", note.Task.Index).
+		Str("Worker", note.Worker).Str("Reason", note.Reason).Int64("Run", note.Run).Uint64("Fence", fence).Send()
+}
--- /dev/null
+++ b/io/node/peers.go
@@ -0,0 +1,154 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"daisysaddle/core/fleet"
+	"daisysaddle/core/sched"
+	"daisysaddle/io/peer"
+	"daisysaddle/io/wire"
+)
+
+const (
+	ownerTimeout    = 700 * time.Millisecond // longer than an accept (20 ms), short enough for another way to be tried
+	ownerIdle       = 20 * time.Second
+	maxPeerBody     = 1 << 20
+	linkCheck       = 200 * time.Millisecond
+	peerConnections = 8
+)
+
+func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+	var config net.ListenConfig
+	l, err := config.Listen(ctx, "tcp", address.String())
+	return l, errors.Wrap(err, "listen for peers")
+}
+
+func ignoreFrame(peer.Identity, *wire.Frame) {}
+
+func (n *Node) peerChanged(p peer.Identity, up bool) {
+	event := "PeerLost"
+	if up {
+		event = "PeerLinked"
+	}
+	n.log(event).Str("Peer", p.Sender.Name).Send()
+}
+
+// linkOwner keeps a link to the owner.
+func (n *Node) linkOwner(ctx context.Context, mesh *peer.Mesh) {
+	var linked netip.AddrPort
+	for ctx.Err() == nil {
+		o := n.owner.Load()
+		if o != nil && o.Incarnation != n.incarnation && o.Peer != linked {
+			linked = o.Peer
+			n.background.Go(func() error {
+				mesh.Connect(ctx, o.Peer, func(address netip.AddrPort) bool {
+					current := n.owner.Load()
+					return current == nil || current.Peer != address
+				})
+				return nil
+			})
+		}
+		if o == nil {
+			linked = netip.AddrPort{}
+		}
+		pause(ctx, linkCheck)
+	}
+}
+
+// peerClient carries calls to the owner over the link.
+func (n *Node) peerClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: peerConnections, IdleConnTimeout: ownerIdle, DisableCompression: true,
+		DialContext: func(context.Context, string, string) (net.Conn, error) {
+			o := n.owner.Load()
+			n.mu.Lock()
+			mesh := n.mesh
+			n.mu.Unlock()
+			if o == nil || mesh == nil {
+				return nil, errNoOwner
+			}
+			return mesh.Open(fleet.Sender{Name: o.Name, Incarnation: o.Incarnation})
+		},
+	}}
+}
+
+// askOwner sends a caller's request to the owner; an error says that another way must be tried.
+func (n *Node) askOwner(ctx context.Context, method, path string, body any) (Verdict, error) {
+	o := n.owner.Load()
+	if o == nil || o.Incarnation == n.incarnation {
+		return Verdict{}, errNoOwner
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	var payload io.Reader
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return Verdict{}, errors.Wrap(err, "encode a request to the owner")
+		}
+		payload = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+o.Incarnation+path, payload)
+	if err != nil {
+		return Verdict{}, errors.Wrap(err, "make a request to the owner")
+	}
+	response, err := n.peers.Do(request)
+	if err != nil {
+		return Verdict{}, errors.Mark(errors.Wrap(err, "ask the owner"), errNoOwner)
+	}
+	defer response.Body.Close()
+	var v Verdict
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxPeerBody)).Decode(&v); err != nil {
+		return Verdict{}, errors.Mark(errors.Wrap(err, "decode the owner's answer"), errNoOwner)
+	}
+	if response.StatusCode != http.StatusOK {
+		return Verdict{}, errors.Wrapf(errNoOwner, "status %d", response.StatusCode)
+	}
+	return v, nil
+}
+
+// peerHandler answers other entries while this one owns the workers.
+func (n *Node) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	handle := func(pattern string, answer func(*http.Request, *control) Verdict) {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+			c := n.owning()
+			if c == nil {
+				writeVerdict(w, http.StatusServiceUnavailable, Verdict{})
+				return
+			}
+			v := answer(r, c)
+			status := http.StatusOK
+			if v.Outcome == OutcomeUnknown {
+				status = http.StatusServiceUnavailable // the store can tell the asking entry more
+			}
+			writeVerdict(w, status, v)
+		})
+	}
+	handle("POST /jobs/{id}", func(r *http.Request, c *control) Verdict {
+		var j sched.Job
+		if err := json.NewDecoder(io.LimitReader(r.Body, maxPeerBody)).Decode(&j); err != nil || j.Check() != nil {
+			return Verdict{Outcome: OutcomeUnknown, Reason: "NotDecoded"}
+		}
+		return c.submit(r.Context(), j)
+	})
+	handle("GET /jobs/{id}", func(r *http.Request, c *control) Verdict { return c.jobState(r.Context(), r.PathValue("id")) })
+	handle("DELETE /jobs/{id}", func(r *http.Request, c *control) Verdict { return c.cancel(r.Context(), r.PathValue("id")) })
+	handle("GET /queues/{queue}", func(r *http.Request, c *control) Verdict { return c.waiting(r.Context(), r.PathValue("queue")) })
+	return mux
+}
+
+func writeVerdict(w http.ResponseWriter, status int, v Verdict) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the asking entry sees a short answer as none
+}
--- /dev/null
+++ b/io/node/serve.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Listeners are the addresses that an entry serves, with their handlers.
+type Listeners struct {
+	Front        netip.AddrPort
+	FrontHandler http.Handler
+	Ready        netip.AddrPort
+	ReadyHandler http.Handler
+	Metrics      netip.AddrPort // zero for none
+}
+
+const (
+	// unreadyTime is how long an entry that stops goes on serving, so that the balancer's two
+	// checks a second apart miss before connections close.
+	unreadyTime     = 2600 * time.Millisecond
+	shutdownTime    = 2 * time.Second // for requests under way; with unreadyTime inside the grace of 6 s
+	headerPatience  = 3 * time.Second
+	defaultHeaders  = 16 << 10
+	shutdownReserve = 500 * time.Millisecond
+)
+
+// Serve runs an entry until stop ends, then stops it gracefully within grace.
+func (n *Node) Serve(stop context.Context, l Listeners, grace time.Duration) error {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
+	defer cancel()
+	front := &http.Server{Handler: l.FrontHandler, ReadHeaderTimeout: headerPatience, MaxHeaderBytes: defaultHeaders}
+	ready := &http.Server{Handler: l.ReadyHandler, ReadHeaderTimeout: headerPatience}
+	metrics := &http.Server{Handler: n.MetricsHandler(), ReadHeaderTimeout: headerPatience}
+	servers := []struct {
+		address netip.AddrPort
+		server  *http.Server
+	}{{l.Ready, ready}, {l.Front, front}, {l.Metrics, metrics}}
+	group, ctx := errgroup.WithContext(ctx)
+	for _, s := range servers {
+		if !s.address.IsValid() {
+			continue
+		}
+		listener, err := net.Listen("tcp", s.address.String())
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", s.address)
+		}
+		group.Go(func() error {
+			if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				return errors.Wrapf(err, "serve on %s", s.address)
+			}
+			return nil
+		})
+	}
+	group.Go(func() error { return n.Run(ctx) })
+	group.Go(func() error {
+		select {
+		case <-stop.Done():
+		case <-ctx.Done():
+			return nil
+		}
+		n.log("Stopping").Dur("Grace", grace).Send()
+		n.Stopping()
+		front.SetKeepAlivesEnabled(true)
+		pause(ctx, min(unreadyTime, max(0, grace-shutdownTime-shutdownReserve)))
+		closing, done := context.WithTimeout(ctx, shutdownTime)
+		defer done()
+		err := front.Shutdown(closing)
+		if err != nil {
+			n.log("RequestsCut").Err(err).Send()
+		}
+		_ = ready.Close()   // nothing is lost with an unanswered check
+		_ = metrics.Close() // nor with an unanswered scrape
+		cancel()
+		return nil
+	})
+	return group.Wait()
+}
+
+// ReloadOn checks the settings file again on each signal; what an entry is told at its start stays in force.
+func (n *Node) ReloadOn(ctx context.Context, signals <-chan os.Signal, check func() error) {
+	n.background.Go(func() error {
+		for {
+			select {
+			case <-signals:
+				n.log("Reload").Err(check()).Send()
+			case <-ctx.Done():
+				return nil
+			}
+		}
+	})
+}
--- a/io/stand/server.go
+++ b/io/stand/server.go
@@ -23,6 +23,8 @@
 	mux.HandleFunc("POST /v1/lease/{lease}", p.serveRenew)
 	mux.HandleFunc("DELETE /v1/lease/{lease}", p.serveRevoke)
 	mux.HandleFunc("GET /v1/watch", p.serveWatch)
+	mux.HandleFunc("GET /v1/range", p.serveRange)
+	mux.HandleFunc("POST /v1/change", p.serveChange)
 	mux.HandleFunc("GET /v1/instances", p.serveList)
 	mux.HandleFunc("PUT /v1/instances", p.serveSetInstances)
 	mux.HandleFunc("PUT /v1/faults", p.serveFaults)
@@ -113,10 +115,35 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	batch, err := p.Watch(r.Context(), after, hold)
+	prefix := r.URL.Query().Get("prefix")
+	if prefix == "" {
+		batch, err := p.Watch(r.Context(), after, hold)
+		answer(w, batch, err)
+		return
+	}
+	batch, err := p.WatchPrefix(r.Context(), prefix, after, hold)
+	answer(w, batch, err)
+}
+
+func (p *Platform) serveRange(w http.ResponseWriter, r *http.Request) {
+	batch, err := p.Range(r.Context(), r.URL.Query().Get("prefix"))
 	answer(w, batch, err)
 }
 
+func (p *Platform) serveChange(w http.ResponseWriter, r *http.Request) {
+	var c store.Change
+	if err := decode(r, &c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	revision, current, err := p.Commit(r.Context(), c)
+	if errors.Is(err, store.ErrConflict) {
+		answer(w, store.ChangeAnswer{Conflict: true, Current: current}, nil)
+		return
+	}
+	answer(w, store.ChangeAnswer{Revision: revision}, err)
+}
+
 func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
 	listing, err := p.List(r.Context())
 	if err != nil {
--- a/io/store/backend.go
+++ b/io/store/backend.go
@@ -26,6 +26,25 @@
 	Full     bool // the answer holds every key, because older changes were compacted
 }
 
+// Condition demands that a key still has a revision; zero demands that it does not exist.
+type Condition struct {
+	Key      string
+	Revision uint64
+}
+
+// Change is a set of writes that take effect together, and only if all conditions hold.
+type Change struct {
+	Conditions []Condition
+	Puts       []Record
+	Deletes    []string
+}
+
+// MaxChange is the largest number of conditions and writes in one change.
+const MaxChange = 32
+
+// Entries returns how much of MaxChange the change takes.
+func (c Change) Entries() int { return len(c.Conditions) + len(c.Puts) + len(c.Deletes) }
+
 // Listed is one instance in the platform's lagging list.
 type Listed struct {
 	Name    string
@@ -48,6 +67,7 @@
 	ErrUnavailable = errors.New("the platform did not answer")
 	ErrRateLimited = errors.New("the platform refused the call rate")
 	ErrNoLease     = errors.New("the lease has expired")
+	ErrNotDone     = errors.New("the platform refused the call and did nothing")
 	ErrTooLarge    = errors.New("the value is larger than 1 MB")
 )
 
@@ -63,6 +83,9 @@
 	Renew(ctx context.Context, lease string) error
 	Revoke(ctx context.Context, lease string) error
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+	WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) (Batch, error)
+	Range(ctx context.Context, prefix string) (Batch, error)
+	Commit(ctx context.Context, c Change) (uint64, []Record, error)
 	List(ctx context.Context) (Listing, error)
 }
 
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -235,6 +235,9 @@
 	return now.Before(c.openUntil)
 }
 
+// Down reports whether the platform has not answered for some calls in a row.
+func (c *Client) Down(now time.Time) bool { return c.breakerOpen(now) }
+
 // count opens the circuit breaker after consecutive failures.
 func (c *Client) count(err error, now time.Time) {
 	c.mu.Lock()
--- a/io/store/http.go
+++ b/io/store/http.go
@@ -139,6 +139,39 @@
 	return b, err
 }
 
+// ChangeAnswer is the body of the answer to a change; Current holds the conditions' keys when it was refused.
+type ChangeAnswer struct {
+	Revision uint64
+	Conflict bool
+	Current  []Record
+}
+
+// WatchPrefix waits until a key that begins with prefix changes after the given revision.
+func (h *HTTP) WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) (Batch, error) {
+	var b Batch
+	err := h.call(ctx, http.MethodGet, fmt.Sprintf("/watch?after=%d&wait=%s&prefix=%s", after, wait, url.QueryEscape(prefix)), nil, &b)
+	return b, err
+}
+
+// Range reads all keys that begin with prefix.
+func (h *HTTP) Range(ctx context.Context, prefix string) (Batch, error) {
+	var b Batch
+	err := h.call(ctx, http.MethodGet, "/range?prefix="+url.QueryEscape(prefix), nil, &b)
+	return b, err
+}
+
+// Commit applies a change if all its conditions hold, and returns the records that stand against it if not.
+func (h *HTTP) Commit(ctx context.Context, c Change) (uint64, []Record, error) {
+	var a ChangeAnswer
+	if err := h.call(ctx, http.MethodPost, "/change", c, &a); err != nil {
+		return 0, nil, err
+	}
+	if a.Conflict {
+		return 0, a.Current, ErrConflict
+	}
+	return a.Revision, nil, nil
+}
+
 // HeaderListAt carries the time at which an unchanged list was still true.
 const HeaderListAt = "Daisysaddle-List-At"
 
