Follow the ownership record from the store's revision; log each pool's load

Cause: the watch began at the record's own revision, which leaves the store's history after 20 s, so that each watch was answered at once with 410 and a full read.

--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -51,6 +51,7 @@
 	pause    time.Time // no starts before then
 	faults   map[string]bool
 	cordoned bool // it is chosen for its upkeep
+	leaving  bool // its upkeep was ordered
 	gone     bool // its life is over, though the list may still show it
 }
 
--- /dev/null
+++ b/core/sched/report.go
@@ -0,0 +1,58 @@
+package sched
+
+import "time"
+
+// PoolReport is the load of one pool.
+type PoolReport struct {
+	Pool     string
+	Workers  int
+	Usable   int
+	Capacity Size // of the usable workers
+	Used     Size
+	Waiting  int // tasks whose turn has come
+	Running  int
+	Doubtful int
+}
+
+// Report returns the load of all pools.
+func (s *State) Report(now time.Time) []PoolReport {
+	pools := make(map[string]*PoolReport)
+	of := func(name string) *PoolReport {
+		if pools[name] == nil {
+			pools[name] = &PoolReport{Pool: name}
+		}
+		return pools[name]
+	}
+	for _, w := range s.workers {
+		p := of(w.Pool)
+		p.Workers++
+		p.Used = p.Used.Add(w.used)
+		if w.usable(now) {
+			p.Usable++
+			p.Capacity = p.Capacity.Add(w.Capacity)
+		}
+		p.Running += len(w.runs)
+		for _, r := range w.runs {
+			if r.phase == doubtful {
+				p.Doubtful++
+			}
+		}
+	}
+	for name, q := range s.queues {
+		for _, st := range q.stages {
+			if st.job.state.Final() {
+				continue
+			}
+			for i := range st.tasks {
+				if st.tasks[i].waits() {
+					of(s.config.Queues[name].Pool).Waiting++
+				}
+			}
+		}
+	}
+	var all []PoolReport
+	for _, name := range sortedKeys(pools) {
+		all = append(all, *pools[name])
+	}
+	return all
+}
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -105,6 +105,9 @@
 		s.uncordon(p.machine)
 	default:
 		p.retry = now.Add(upkeepRetry)
+		if w := s.workers[s.machines[p.machine].Worker]; w != nil {
+			w.leaving = false // nothing was done
+		}
 	}
 	s.changed = true
 }
@@ -121,7 +124,7 @@
 
 func (s *State) uncordon(machine string) {
 	if w := s.workers[s.machines[machine].Worker]; w != nil && w.cordoned {
-		w.cordoned = false
+		w.cordoned, w.leaving = false, false
 		s.changed = true
 	}
 }
@@ -215,6 +218,9 @@
 			chosen--
 		}
 		p.inFlight, p.at = true, now
+		if wk := s.workers[m.Worker]; wk != nil {
+			wk.leaving = true
+		}
 		o.Machines = append(o.Machines, MachineOrder{Machine: p.machine, Wave: w.Number})
 	}
 }
@@ -285,7 +291,7 @@
 		if r != nil && r.worker == w {
 			continue
 		}
-		if r == nil || r.phase != running || r.percent < wholePercent || r.worker.failures > 0 {
+		if r == nil || r.phase != running || r.percent < wholePercent || r.worker.failures > 0 || r.worker.leaving {
 			n++
 		}
 	}
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -37,6 +37,7 @@
 	workersEvery    = 400 * time.Millisecond // well inside the time to notice that a worker drains (2 s)
 	intakePause     = 250 * time.Millisecond // jobs that an entry stored without the owner are rare
 	forgetEvery     = 10 * time.Second
+	reportEvery     = time.Second
 	flushPatience   = 400 * time.Millisecond // an owner that stops lets its last saves end
 	eventsAtOnce    = 512
 	orderTimeout    = 600 * time.Millisecond // far beyond a sound worker's answer (2 ms), within a task's length
@@ -91,7 +92,7 @@
 func (c *control) loop() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	forgot := c.node.Now()
+	forgot, reported := c.node.Now(), c.node.Now()
 	for c.ctx.Err() == nil {
 		select {
 		case <-c.ctx.Done():
@@ -110,6 +111,10 @@
 		}
 		c.dispatch(orders)
 		timer.Reset(max(0, orders.Wake.Sub(now)))
+		if now.Sub(reported) > reportEvery {
+			reported = now
+			c.report(now)
+		}
 		if now.Sub(forgot) > forgetEvery {
 			forgot = now
 			c.forget(now)
@@ -261,3 +266,13 @@
 		c.saves.Submit(c.saving, change, func(store.Settlement, error) {}) // what stays is deleted by a later owner
 	}
 }
+
+// report logs the load of each pool.
+func (c *control) report(now time.Time) {
+	for _, p := range c.state.Report(now) {
+		c.node.log("Pool").Str("Pool", p.Pool).Int("Workers", p.Workers).Int("Usable", p.Usable).
+			Int("Processors", p.Capacity.Processors).Int("UsedProcessors", p.Used.Processors).
+			Int("MemoryMB", p.Capacity.MemoryMB).Int("UsedMemoryMB", p.Used.MemoryMB).
+			Int("Running", p.Running).Int("Waiting", p.Waiting).Int("Doubtful", p.Doubtful).Send()
+	}
+}
--- a/io/node/elect.go
+++ b/io/node/elect.go
@@ -55,7 +55,7 @@
 			<-ctx.Done()
 			return
 		}
-		record, err := n.Store.Get(ctx, keyOwner, store.Safety)
+		record, after, err := n.readOwner(ctx)
 		switch {
 		case err != nil:
 			pause(ctx, retryPause)
@@ -66,22 +66,44 @@
 				pause(ctx, retryPause)
 			}
 		default:
-			n.followOwner(ctx, record)
+			n.followOwner(ctx, record, after)
 		}
 	}
 }
 
-// followOwner waits until the ownership record changes.
-func (n *Node) followOwner(ctx context.Context, record store.Record) {
+// followOwner waits until the ownership record changes; after is the store's revision when it was read.
+func (n *Node) followOwner(ctx context.Context, record store.Record, after uint64) {
 	var o ownership
 	if err := json.Unmarshal(record.Value, &o); err != nil {
 		n.log("RecordSkipped").Str("Key", keyOwner).Err(err).Send()
 	}
 	o.revision = record.Revision
 	n.noteOwner(&o)
-	if _, err := n.Store.WatchPrefix(ctx, keyOwner, record.Revision, claimWait); err != nil {
-		pause(ctx, retryPause)
+	for ctx.Err() == nil {
+		batch, err := n.Store.WatchPrefix(ctx, keyOwner, after, claimWait)
+		if err != nil {
+			pause(ctx, retryPause)
+			return
+		}
+		if batch.Full || len(batch.Deleted)+len(batch.Records) > 0 {
+			return
+		}
+		after = max(after, batch.Revision)
+	}
+}
+
+// readOwner reads the ownership record and the store's revision, from which a watch can go on.
+func (n *Node) readOwner(ctx context.Context) (store.Record, uint64, error) {
+	batch, err := n.Store.Range(ctx, keyOwner, store.Safety)
+	if err != nil {
+		return store.Record{}, 0, err
+	}
+	for _, r := range batch.Records {
+		if r.Key == keyOwner {
+			return r, batch.Revision, nil
+		}
 	}
+	return store.Record{Key: keyOwner}, batch.Revision, nil
 }
 
 func (n *Node) noteOwner(o *ownership) {
@@ -170,17 +192,20 @@
 
 // keepRecord watches for the ownership record being taken away.
 func (n *Node) keepRecord(c *control, o ownership) {
+	after := o.revision
 	for c.ctx.Err() == nil {
-		batch, err := n.Store.WatchPrefix(c.ctx, keyOwner, o.revision, claimWait)
+		batch, err := n.Store.WatchPrefix(c.ctx, keyOwner, after, claimWait)
 		if err != nil {
 			pause(c.ctx, retryPause)
 			continue
 		}
+		after = max(after, batch.Revision)
 		if batch.Full || len(batch.Deleted)+len(batch.Records) > 0 {
-			record, err := n.Store.Get(c.ctx, keyOwner, store.Safety)
+			record, revision, err := n.readOwner(c.ctx)
 			if err == nil && record.Revision != o.revision {
 				c.quit(errReplaced)
 			}
+			after = max(after, revision)
 		}
 	}
 }
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -16,6 +17,7 @@
 	accepts   *prometheus.CounterVec
 	decisions *prometheus.CounterVec
 	orders    *prometheus.HistogramVec
+	store     *prometheus.HistogramVec
 }
 
 const (
@@ -33,8 +35,12 @@
 			Name: "daisysaddle_order_seconds", Help: "Time until an order was answered.",
 			Buckets: prometheus.ExponentialBuckets(firstBucket, bucketFactor, buckets),
 		}, []string{"order", "answer"}),
+		store: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "daisysaddle_store_seconds", Help: "Time of calls to the platform's store.",
+			Buckets: prometheus.ExponentialBuckets(firstBucket, bucketFactor, buckets),
+		}, []string{"call", "ok"}),
 	}
-	m.registry.MustRegister(m.accepts, m.decisions, m.orders)
+	m.registry.MustRegister(m.accepts, m.decisions, m.orders, m.store)
 	return m
 }
 
@@ -46,3 +52,26 @@
 func (n *Node) MetricsHandler() http.Handler {
 	return promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{})
 }
+
+// storeCall records one call to the platform's store.
+func (m *metrics) storeCall(kind string, d time.Duration, err error) {
+	m.store.WithLabelValues(kind, strconv.FormatBool(err == nil)).Observe(d.Seconds())
+}
+
+// storeCalls returns the number of calls of each kind so far.
+func (m *metrics) storeCalls() map[string]uint64 {
+	counts := make(map[string]uint64)
+	families, err := m.registry.Gather()
+	if err != nil {
+		return counts // an incomplete summary is left out
+	}
+	for _, f := range families {
+		if f.GetName() != "daisysaddle_store_seconds" {
+			continue
+		}
+		for _, metric := range f.GetMetric() {
+			counts[metric.GetLabel()[0].GetValue()] += metric.GetHistogram().GetSampleCount()
+		}
+	}
+	return counts
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -133,11 +133,13 @@
 	n.accepting = make(map[string]*acceptance)
 	n.accepts = &store.Batcher{Client: n.Store, Gather: acceptGather, Patience: acceptPatience}
 	n.peers = n.peerClient()
+	n.Store.Observe = n.metrics.storeCall
 	n.log("Start").Str("Zone", n.Zone).Str("Incarnation", n.incarnation).Send()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { n.watchOperator(ctx); return nil })
 	group.Go(func() error { n.elect(ctx); return nil })
 	group.Go(func() error { return n.servePeers(ctx) })
+	group.Go(func() error { n.summarize(ctx); return nil })
 	err := group.Wait()
 	_ = n.background.Wait() // the links end with the context
 	n.log("Stop").Err(err).Send()
@@ -275,3 +277,13 @@
 	group.Go(func() error { n.linkOwner(ctx, mesh); return nil })
 	return errors.Wrap(group.Wait(), "serve peers")
 }
+
+const summaryEvery = 10 * time.Second
+
+// summarize logs now and then how the store was used.
+func (n *Node) summarize(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, summaryEvery)
+		n.log("StoreUse").Any("Calls", n.metrics.storeCalls()).Send()
+	}
+}
--- a/io/store/change.go
+++ b/io/store/change.go
@@ -11,7 +11,7 @@
 // Range reads all keys that begin with prefix.
 func (c *Client) Range(ctx context.Context, prefix string, p Priority) (Batch, error) {
 	var batch Batch
-	err := c.call(ctx, p, func(ctx context.Context) error {
+	err := c.call(ctx, "Range", p, func(ctx context.Context) error {
 		var err error
 		batch, err = c.Backend.Range(ctx, prefix)
 		return err
@@ -23,7 +23,12 @@
 func (c *Client) WatchPrefix(ctx context.Context, prefix string, after uint64, hold time.Duration) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, hold+c.CallTimeout)
 	defer cancel()
-	return c.Backend.WatchPrefix(ctx, prefix, after, hold)
+	began := time.Now()
+	batch, err := c.Backend.WatchPrefix(ctx, prefix, after, hold)
+	if c.Observe != nil {
+		c.Observe("Watch", time.Since(began), err)
+	}
+	return batch, err
 }
 
 // Settlement is what became of a change.
@@ -43,7 +48,7 @@
 	var s Settlement
 	for attempt := 0; ; attempt++ {
 		var current []Record
-		err := c.call(ctx, Safety, func(ctx context.Context) error {
+		err := c.call(ctx, "Commit", Safety, func(ctx context.Context) error {
 			var err error
 			s.Revision, current, err = c.Backend.Commit(ctx, change)
 			return err
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -49,6 +49,7 @@
 	Backend     Backend
 	CallTimeout time.Duration
 	Backoff     retry.Backoff
+	Observe     func(kind string, d time.Duration, err error) // called after each call, if set
 
 	limiter   *rate.Limiter
 	mu        sync.Mutex
@@ -82,7 +83,7 @@
 // Get reads a key and removes the envelope from its value.
 func (c *Client) Get(ctx context.Context, key string, p Priority) (Record, error) {
 	var record Record
-	err := c.call(ctx, p, func(ctx context.Context) error {
+	err := c.call(ctx, "Read", p, func(ctx context.Context) error {
 		var err error
 		record, err = c.Backend.Get(ctx, key)
 		return err
@@ -129,7 +130,7 @@
 	doubt := false // an attempt got no definite answer
 	for attempt := 0; ; attempt++ {
 		var written Record
-		err := c.call(ctx, Safety, func(ctx context.Context) error {
+		err := c.call(ctx, "Swap", Safety, func(ctx context.Context) error {
 			var err error
 			written, err = c.Backend.Swap(ctx, next, prev.Revision)
 			return err
@@ -183,7 +184,7 @@
 // List reads the platform's list of instances.
 func (c *Client) List(ctx context.Context) (Listing, error) {
 	var listing Listing
-	err := c.call(ctx, Informational, func(ctx context.Context) error {
+	err := c.call(ctx, "List", Informational, func(ctx context.Context) error {
 		var err error
 		listing, err = c.Backend.List(ctx)
 		return err
@@ -194,7 +195,7 @@
 // Grant makes a lease.
 func (c *Client) Grant(ctx context.Context, d time.Duration) (string, error) {
 	var lease string
-	err := c.call(ctx, Safety, func(ctx context.Context) error {
+	err := c.call(ctx, "Grant", Safety, func(ctx context.Context) error {
 		var err error
 		lease, err = c.Backend.Grant(ctx, d)
 		return err
@@ -204,15 +205,15 @@
 
 // Renew extends a lease.
 func (c *Client) Renew(ctx context.Context, lease string) error {
-	return c.call(ctx, Safety, func(ctx context.Context) error { return c.Backend.Renew(ctx, lease) })
+	return c.call(ctx, "Renew", Safety, func(ctx context.Context) error { return c.Backend.Renew(ctx, lease) })
 }
 
 // Revoke ends a lease.
 func (c *Client) Revoke(ctx context.Context, lease string) error {
-	return c.call(ctx, Safety, func(ctx context.Context) error { return c.Backend.Revoke(ctx, lease) })
+	return c.call(ctx, "Revoke", Safety, func(ctx context.Context) error { return c.Backend.Revoke(ctx, lease) })
 }
 
-func (c *Client) call(ctx context.Context, p Priority, do func(context.Context) error) error {
+func (c *Client) call(ctx context.Context, kind string, p Priority, do func(context.Context) error) error {
 	if p == Informational && c.limiter.Tokens() < informationalReserve {
 		return ErrRateLimited
 	}
@@ -224,8 +225,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.CallTimeout)
 	defer cancel()
+	began := time.Now()
 	err := do(ctx)
-	c.count(err, time.Now())
+	now := time.Now()
+	c.count(err, now)
+	if c.Observe != nil {
+		c.Observe(kind, now.Sub(began), err)
+	}
 	return err
 }
 
