Move machines between pools with the demand, through the spare pool

Ruled out: slow looks and commits (tasks start within 20 ms on an idle pool). Change: core/sched/lend.go counts each pool's arriving and waiting work and moves empty machines; tasks pack onto the fullest worker so that others get empty.

--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -28,8 +28,11 @@
 	Name   string
 	Pool   string
 	Up     bool
+	Away   bool   // it is on its way to another pool, or down for its upkeep
 	Worker string // the worker that runs there now
 	Zone   string
+
+	Capacity Size
 }
 
 type worker struct {
@@ -81,6 +84,7 @@
 	size     Size
 	since    time.Time
 	sure     time.Time // when the worker confirmed the run
+	began    time.Time // the same, when this owner started it and saw the answer
 	stopAt   time.Time // when the last stop was sent
 	stopSure time.Time // when a stop was confirmed
 	percent  int
--- /dev/null
+++ b/core/sched/learn.go
@@ -0,0 +1,63 @@
+package sched
+
+import "time"
+
+// learned is what past runs tell of a queue's estimates.
+type learned struct {
+	ratio float64 // run time over estimate
+	mean  time.Duration
+	runs  int
+}
+
+const (
+	learnWeight  = 0.05 // of one run
+	ratioLeast   = 0.3
+	ratioMost    = 3.0
+	guessRunTime = time.Second // before anything is known
+	learnAfter   = 10
+)
+
+// learn takes in how long a run took that ended well.
+func (s *State) learn(queue string, step *Step, took time.Duration) {
+	l := s.learned[queue]
+	if l == nil {
+		l = &learned{ratio: 1}
+		s.learned[queue] = l
+	}
+	l.runs++
+	l.mean += time.Duration(learnWeight * float64(took-l.mean))
+	if l.runs == 1 {
+		l.mean = took
+	}
+	if step.Estimate > 0 {
+		ratio := min(ratioMost, max(ratioLeast, float64(took)/float64(step.Estimate)))
+		l.ratio += learnWeight * (ratio - l.ratio)
+	}
+}
+
+// estimate returns how long a task of a step is expected to run.
+func (s *State) estimate(queue string, step *Step) time.Duration {
+	l := s.learned[queue]
+	switch {
+	case step.Estimate <= 0 && (l == nil || l.runs < learnAfter):
+		return guessRunTime
+	case step.Estimate <= 0:
+		return l.mean
+	case l == nil || l.runs < learnAfter:
+		return step.Estimate
+	}
+	return time.Duration(float64(step.Estimate) * l.ratio)
+}
+
+// remaining returns the expected time of the longest chain of a step and those after it.
+func (s *State) remaining(st *stage) time.Duration {
+	longest := time.Duration(0)
+	for _, next := range st.occurrence.stages[st.index+1:] {
+		for _, a := range next.step.After {
+			if a == st.index {
+				longest = max(longest, s.remaining(next))
+			}
+		}
+	}
+	return longest + s.estimate(st.job.Queue, st.step)
+}
--- /dev/null
+++ b/core/sched/lend.go
@@ -0,0 +1,419 @@
+package sched
+
+import (
+	"math"
+	"time"
+)
+
+// Lending answers the load of queues whose bursts come in turn: each asks about five times its
+// mean for some seconds, more than its pool holds, while the other pools idle. Machines follow
+// the demand; those that no pool needs go to the spare pool, where they cost nothing.
+
+// lending is what is known of one pool's demand.
+type lending struct {
+	arrival  vector // resource-seconds asked for each second
+	at       time.Time
+	surplus  time.Time // since when the pool has had more machines than it needs
+	backlog  vector    // resource-seconds of waiting tasks
+	held     vector    // what runs now
+	lasting  vector    // part of held that lasts
+	distinct int       // workers that its lasting steps need
+	machines int       // that serve it, or will soon
+	need     int
+}
+
+// vector is an amount of each resource.
+type vector [3]float64
+
+func (s Size) vector() vector {
+	return vector{float64(s.Processors), float64(s.MemoryMB), float64(s.Accelerators)}
+}
+
+func (v vector) plus(o vector, factor float64) vector {
+	for i := range v {
+		v[i] += factor * o[i]
+	}
+	return v
+}
+
+// move is a machine on its way to another pool.
+type move struct {
+	to       string
+	from     string
+	began    time.Time
+	ordered  bool
+	inFlight bool
+	doubt    bool
+	retry    time.Time
+	at       time.Time // when the order was answered
+}
+
+const (
+	arrivalWindow = 900 * time.Millisecond  // demand is averaged over this time: a burst lasts some seconds
+	drainBacklog  = 1200 * time.Millisecond // waiting work should be gone in this time, about the slack of an objective
+	lendMargin    = 1.15                    // machines are never packed perfectly
+	surplusTime   = 1500 * time.Millisecond // a pool keeps machines it may need again this long, about a move's time
+	moveDrain     = 2 * time.Second         // a machine that does not get empty in this time stays
+	moveRetry     = 400 * time.Millisecond
+	moveVisible   = 2 * time.Second // after this long the list of machines must show a move
+)
+
+// arrived counts a job's work into its pool's demand.
+func (s *State) arrived(now time.Time, j *job) {
+	s.active = true
+	l := s.lendingOf(s.config.Queues[j.Queue].Pool)
+	l.decay(now)
+	for i := range j.Steps {
+		step := &j.Steps[i]
+		if step.Lasting || step.Fills {
+			continue
+		}
+		seconds := s.estimate(j.Queue, step).Seconds() * float64(step.Count)
+		l.arrival = l.arrival.plus(step.reserved().vector(), seconds/arrivalWindow.Seconds())
+	}
+}
+
+func (l *lending) decay(now time.Time) {
+	if !l.at.IsZero() {
+		keep := math.Exp(-now.Sub(l.at).Seconds() / arrivalWindow.Seconds())
+		for i := range l.arrival {
+			l.arrival[i] *= keep
+		}
+	}
+	l.at = now
+}
+
+func (s *State) lendingOf(pool string) *lending {
+	l := s.lendings[pool]
+	if l == nil {
+		l = &lending{}
+		s.lendings[pool] = l
+	}
+	return l
+}
+
+// planLending moves machines to the pools that need them.
+func (s *State) planLending(now time.Time, o *Orders) {
+	if !s.active {
+		return
+	}
+	s.wantMachines(now, o)
+	if len(s.machines) == 0 {
+		return
+	}
+	s.measureDemand(now)
+	s.countMachines()
+	for _, pool := range sortedKeys(s.lendings) {
+		l := s.lendings[pool]
+		l.need = s.needed(pool, l)
+		if l.machines <= l.need {
+			l.surplus = time.Time{}
+		} else if l.surplus.IsZero() {
+			l.surplus = now
+		}
+	}
+	for _, name := range sortedKeys(s.moves) {
+		s.carryMove(now, name, s.moves[name])
+	}
+	s.growPools(now)
+	s.shrinkPools(now)
+	for _, name := range sortedKeys(s.moves) {
+		s.orderMove(now, name, s.moves[name], o)
+	}
+}
+
+// measureDemand sums what runs and waits in each pool.
+func (s *State) measureDemand(now time.Time) {
+	for _, l := range s.lendings {
+		l.decay(now)
+		l.backlog, l.held, l.lasting, l.distinct = vector{}, vector{}, vector{}, 0
+	}
+	for _, w := range s.workers {
+		l := s.lendingOf(w.Pool)
+		for _, r := range w.runs {
+			l.held = l.held.plus(r.size.vector(), 1)
+			if r.task != nil && r.task.stage.step.Lasting {
+				l.lasting = l.lasting.plus(r.size.vector(), 1)
+			}
+		}
+	}
+	for name, q := range s.queues {
+		l := s.lendingOf(s.config.Queues[name].Pool)
+		for _, st := range q.stages {
+			n := 0
+			for i := range st.tasks {
+				if st.tasks[i].waits() {
+					n++
+				}
+			}
+			seconds := s.estimate(name, st.step).Seconds()
+			if st.step.Lasting || st.step.Fills {
+				l.lasting = l.lasting.plus(st.step.reserved().vector(), float64(n))
+				continue
+			}
+			l.backlog = l.backlog.plus(st.step.reserved().vector(), float64(n)*seconds)
+		}
+	}
+	for _, id := range sortedKeys(s.jobs) {
+		j := s.jobs[id]
+		if j.state.Final() {
+			continue
+		}
+		for i := range j.Steps {
+			if step := &j.Steps[i]; step.Lasting && step.MaxPerWorker > 0 {
+				l := s.lendingOf(s.config.Queues[j.Queue].Pool)
+				l.distinct = max(l.distinct, (step.Count+step.MaxPerWorker-1)/step.MaxPerWorker)
+			}
+		}
+	}
+}
+
+// countMachines counts the machines that serve each pool, or will soon.
+func (s *State) countMachines() {
+	for _, l := range s.lendings {
+		l.machines = 0
+	}
+	for name, m := range s.machines {
+		if mv := s.moves[name]; mv != nil {
+			s.lendingOf(mv.to).machines++
+			continue
+		}
+		if w := s.workers[m.Worker]; w != nil && (w.failures > 1 || w.Draining) {
+			continue
+		}
+		s.lendingOf(m.Pool).machines++
+	}
+}
+
+// needed returns how many machines a pool needs.
+func (s *State) needed(pool string, l *lending) int {
+	if s.config.Pools[pool].Spare {
+		return 0
+	}
+	unit := s.unitOf(pool).vector()
+	machines := 0.0
+	for i := range unit {
+		if unit[i] <= 0 {
+			continue
+		}
+		batch := max(l.arrival[i]+l.backlog[i]/drainBacklog.Seconds(), 0)
+		if running := l.held[i] - l.lasting[i]; l.backlog[i] > 0 {
+			batch = max(batch, running)
+		}
+		machines = max(machines, (l.lasting[i]+batch*lendMargin)/unit[i])
+	}
+	return max(int(math.Ceil(machines)), l.distinct+1, 1)
+}
+
+// unitOf returns the size of a pool's machines, or of any machine when it has none.
+func (s *State) unitOf(pool string) Size {
+	var any Size
+	for _, name := range sortedKeys(s.machines) {
+		m := s.machines[name]
+		if m.Pool == pool {
+			return m.Capacity
+		}
+		any = m.Capacity
+	}
+	return any
+}
+
+// growPools chooses machines for pools that lack some: spare ones first, then those that others don't need.
+func (s *State) growPools(now time.Time) {
+	for _, pool := range sortedKeys(s.lendings) {
+		l := s.lendings[pool]
+		if _, known := s.config.Pools[pool]; !known {
+			continue
+		}
+		for l.machines < l.need {
+			name := s.spareMachine(pool)
+			if name == "" {
+				name = s.surplusMachine(pool)
+			}
+			if name == "" {
+				break
+			}
+			s.beginMove(now, name, pool)
+			l.machines++
+		}
+	}
+}
+
+func (s *State) spareMachine(pool string) string {
+	for _, name := range sortedKeys(s.machines) {
+		m := s.machines[name]
+		if s.config.Pools[m.Pool].Spare && s.movable(name, m, pool) {
+			return name
+		}
+	}
+	return ""
+}
+
+// surplusMachine returns the emptiest machine of the pools that have more than they need.
+func (s *State) surplusMachine(pool string) string {
+	best, least := "", math.MaxInt
+	for _, name := range sortedKeys(s.machines) {
+		m := s.machines[name]
+		l := s.lendings[m.Pool]
+		if m.Pool == pool || l == nil || l.machines <= l.need || s.config.Pools[m.Pool].Spare || !s.movable(name, m, pool) {
+			continue
+		}
+		if n := s.batchRuns(m); n < least {
+			best, least = name, n
+		}
+	}
+	return best
+}
+
+// batchRuns counts what runs on a machine.
+func (s *State) batchRuns(m Machine) int {
+	if w := s.workers[m.Worker]; w != nil {
+		return len(w.runs)
+	}
+	return 0
+}
+
+// movable reports whether a machine may be moved to a pool: not while it is away, leaves, waits for
+// its upkeep, or carries a lasting task.
+func (s *State) movable(name string, m Machine, to string) bool {
+	if s.moves[name] != nil || s.refusedMoves[moveTarget{name, to}] {
+		return false
+	}
+	idle := s.config.Pools[m.Pool].Spare
+	if !idle && !m.Up || m.Away {
+		return false
+	}
+	for _, w := range s.waves {
+		for _, p := range w.parts {
+			if p.machine == name && (p.down() || !p.begun && !p.chosen.IsZero()) {
+				return false
+			}
+		}
+	}
+	w := s.workers[m.Worker]
+	if w == nil {
+		return idle
+	}
+	if w.Draining || w.cordoned || !w.looked || w.failures > 0 {
+		return false
+	}
+	for _, r := range w.runs {
+		if r.task != nil && r.task.stage.step.Lasting {
+			return false
+		}
+	}
+	return true
+}
+
+type moveTarget struct{ machine, pool string }
+
+// shrinkPools sends machines that were not needed for a while to the spare pool.
+func (s *State) shrinkPools(now time.Time) {
+	spare := ""
+	for _, name := range sortedKeys(s.config.Pools) {
+		if s.config.Pools[name].Spare {
+			spare = name
+		}
+	}
+	if spare == "" {
+		return
+	}
+	for _, pool := range sortedKeys(s.lendings) {
+		l := s.lendings[pool]
+		if s.config.Pools[pool].Spare || l.surplus.IsZero() || now.Sub(l.surplus) < surplusTime {
+			continue
+		}
+		for l.machines > l.need {
+			best, least := "", math.MaxInt
+			for _, name := range sortedKeys(s.machines) {
+				m := s.machines[name]
+				if m.Pool != pool || !s.movable(name, m, spare) {
+					continue
+				}
+				if n := s.batchRuns(m); n < least {
+					best, least = name, n
+				}
+			}
+			if best == "" {
+				break
+			}
+			s.beginMove(now, best, spare)
+			l.machines--
+		}
+	}
+}
+
+func (s *State) beginMove(now time.Time, name, to string) {
+	m := s.machines[name]
+	s.moves[name] = &move{to: to, from: m.Pool, began: now}
+	if l := s.lendings[m.Pool]; l != nil && !s.config.Pools[m.Pool].Spare {
+		l.machines = max(0, l.machines-1)
+	}
+	w := s.workers[m.Worker]
+	id := ""
+	if w != nil {
+		w.cordoned, id = true, w.ID
+	}
+	s.note("MoveChosen", TaskID{}, id, name+" to "+to, 0)
+}
+
+// carryMove ends moves that are over or not wanted any more.
+func (s *State) carryMove(now time.Time, name string, mv *move) {
+	m, listed := s.machines[name]
+	switch {
+	case !listed:
+		delete(s.moves, name)
+	case mv.inFlight || mv.doubt:
+	case mv.ordered:
+		if m.Pool == mv.to && !m.Away && s.listedAt.Sub(mv.at) > listLag || now.Sub(mv.at) > s.settings.MoveTime+moveVisible {
+			delete(s.moves, name)
+		}
+	case now.Sub(mv.began) > moveDrain || s.wantsBack(mv):
+		delete(s.moves, name)
+		s.uncordon(name)
+	}
+}
+
+// wantsBack reports whether the pool that a machine was to leave needs it again.
+func (s *State) wantsBack(mv *move) bool {
+	l := s.lendings[mv.from]
+	return l != nil && l.machines < l.need
+}
+
+// orderMove sends the order once the machine is empty.
+func (s *State) orderMove(now time.Time, name string, mv *move, o *Orders) {
+	if mv.inFlight || mv.ordered || now.Before(mv.retry) {
+		return
+	}
+	if w := s.workers[s.machines[name].Worker]; w != nil && len(w.runs) > 0 && !mv.doubt {
+		return
+	}
+	mv.inFlight = true
+	o.Machines = append(o.Machines, MachineOrder{Machine: name, Pool: mv.to})
+}
+
+// moveAnswered takes in what became of a move.
+func (s *State) moveAnswered(now time.Time, order MachineOrder, answer Answer) {
+	mv := s.moves[order.Machine]
+	if mv == nil {
+		return
+	}
+	mv.inFlight, mv.at = false, now
+	switch answer {
+	case Carried:
+		mv.ordered, mv.doubt = true, false
+		s.machineWentDown(now, order.Machine)
+	case Outdated:
+		s.deposed = true
+	case Unanswered, Unhealthy:
+		mv.doubt = mv.doubt || answer == Unanswered
+		mv.retry = now.Add(moveRetry)
+	default:
+		if answer == Malformed {
+			s.refusedMoves[moveTarget{order.Machine, order.Pool}] = true
+		}
+		delete(s.moves, order.Machine)
+		s.uncordon(order.Machine)
+	}
+	s.changed = true
+}
--- a/core/sched/look.go
+++ b/core/sched/look.go
@@ -147,6 +147,9 @@
 	switch e.How {
 	case Done:
 		clear(w.faults)
+		if r := w.runs[e.Task]; r != nil && r.number == e.Run && r.saved == "" && !r.sure.IsZero() && r.sure.Equal(r.began) {
+			s.learn(st.job.Queue, st.step, now.Sub(r.sure))
+		}
 		if st.step.Lasting {
 			break
 		}
@@ -223,7 +226,7 @@
 	}
 	switch answer {
 	case Carried:
-		r.phase, r.sure, r.moved = running, now, now
+		r.phase, r.sure, r.moved, r.began = running, now, now, now
 		return
 	case Unanswered:
 		r.phase, r.since = doubtful, now
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -88,7 +88,7 @@
 		return r
 	}
 	r.due = s.goal(q, st)
-	if now.Add(st.step.Estimate).After(r.due) {
+	if now.Add(s.remaining(st)).After(r.due) {
 		r.group = groupLate
 	}
 	return r
@@ -96,7 +96,12 @@
 
 // goal returns when the occurrence of a step should be done.
 func (s *State) goal(q Queue, st *stage) time.Time {
-	return st.occurrence.due.Add(q.Target + time.Duration(q.Stretch*float64(st.job.Chain())))
+	return st.occurrence.due.Add(s.objective(q, &st.job.Job))
+}
+
+// objective returns the latency objective of a job.
+func (s *State) objective(q Queue, j *Job) time.Duration {
+	return q.Target + time.Duration(q.Stretch*float64(j.chain(func(p *Step) time.Duration { return s.estimate(j.Queue, p) })))
 }
 
 // placeStage starts as many waiting tasks of a step as fit.
@@ -153,8 +158,8 @@
 
 // choose returns the worker for a task, or nil.
 //
-// It spreads lasting tasks and fills the emptiest worker first, so that a lost worker takes few
-// tasks of one step with it, and prefers the rack of the data.
+// It prefers the rack of the data, keeps away from workers on which the task failed, and fills
+// the fullest worker first, so that other machines get empty and can follow the demand.
 func (s *State) choose(now time.Time, t *task, q Queue, workers []*worker, perWorker map[string]int) *worker {
 	st := t.stage
 	size := st.step.reserved()
@@ -167,8 +172,7 @@
 		sc := score{
 			avoided: slices.Contains(t.avoid, w.ID),
 			far:     st.step.PreferredRack != "" && w.Rack != st.step.PreferredRack,
-			beside:  perWorker[w.ID],
-			used:    w.load(),
+			load:    w.load(),
 		}
 		if best == nil || sc.less(bestScore) {
 			best, bestScore = w, sc
@@ -181,8 +185,7 @@
 type score struct {
 	avoided bool
 	far     bool
-	beside  int
-	used    float64
+	load    float64
 }
 
 func (a score) less(b score) bool {
@@ -192,10 +195,7 @@
 	if a.far != b.far {
 		return b.far
 	}
-	if a.beside != b.beside {
-		return a.beside < b.beside
-	}
-	return a.used < b.used
+	return a.load > b.load
 }
 
 // load returns the larger share of its processors and memory that a worker has given away.
--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -11,7 +11,7 @@
 	doubtPatience   = 400 * time.Millisecond // an unanswered start may still show in a look
 	lookWait        = time.Second            // a worker answers a look after this long at the latest
 	unsavedPatience = 250 * time.Millisecond // looks go on without an acknowledgement while ends can't be stored
-	machinesEvery   = time.Second            // the list of machines is read this often while a wave runs
+	machinesEvery   = 500 * time.Millisecond // the list of machines is read this often, a third of a move's time
 	placeEvery      = 250 * time.Millisecond // pauses and tickets end without an event
 	planEvery       = 250 * time.Millisecond // a plan is due this often without any event
 )
@@ -30,6 +30,7 @@
 		s.lapseRuns(now, w)
 	}
 	s.planWaves(now, &o)
+	s.planLending(now, &o)
 	for _, w := range workers {
 		s.planRuns(now, w, &o)
 		s.planPace(now, w, &o)
--- a/core/sched/progress.go
+++ b/core/sched/progress.go
@@ -100,15 +100,15 @@
 	return nil
 }
 
-// Chain returns the estimated time of the longest chain of steps.
-func (j Job) Chain() time.Duration {
+// chain returns the time of the longest chain of steps, by an estimate of each.
+func (j *Job) chain(estimate func(*Step) time.Duration) time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
-	for i, s := range j.Steps {
-		for _, a := range s.After {
+	for i := range j.Steps {
+		for _, a := range j.Steps[i].After {
 			ends[i] = max(ends[i], ends[a])
 		}
-		ends[i] += s.Estimate
+		ends[i] += estimate(&j.Steps[i])
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -20,13 +20,19 @@
 	waved    map[int64]WaveStatus // what earlier owners stored
 	machines map[string]Machine
 	dirty    map[string]*job
-	notes    []Note
-	deposed  bool
-	changed  bool      // something that placement depends on has changed
-	placed   time.Time // when tasks were placed last
-	barrier  time.Time // after it, no run of an earlier owner can be left
-	machined time.Time // when the list of machines was asked for last
-	listedAt time.Time // when it was read last
+	lendings map[string]*lending // by pool
+	moves    map[string]*move    // by machine
+	learned  map[string]*learned // by queue
+	active   bool                // a job has come
+	// refusedMoves holds the moves that the machines' interface called impossible.
+	refusedMoves map[moveTarget]bool
+	notes        []Note
+	deposed      bool
+	changed      bool      // something that placement depends on has changed
+	placed       time.Time // when tasks were placed last
+	barrier      time.Time // after it, no run of an earlier owner can be left
+	machined     time.Time // when the list of machines was asked for last
+	listedAt     time.Time // when it was read last
 }
 
 // queue holds the steps of one queue that have tasks to place.
@@ -107,6 +113,7 @@
 		fence: fence, settings: settings,
 		jobs: make(map[string]*job), queues: make(map[string]*queue), workers: make(map[string]*worker),
 		waves: make(map[int64]*wave), waved: make(map[int64]WaveStatus), machines: make(map[string]Machine), dirty: make(map[string]*job),
+		lendings: make(map[string]*lending), moves: make(map[string]*move), learned: make(map[string]*learned), refusedMoves: make(map[moveTarget]bool),
 		barrier: now.Add(oldOwnerPatience + lapseBound(settings.hold())),
 	}
 }
@@ -167,6 +174,7 @@
 		s.queueOf(j.Queue).waiting++
 	}
 	s.advance(now, j, done)
+	s.arrived(now, j)
 }
 
 func (j *job) plain() bool { return j.Repeats == 0 }
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -79,6 +79,10 @@
 
 // MachineAnswered takes in what became of an order to a machine.
 func (s *State) MachineAnswered(now time.Time, o MachineOrder, answer Answer) {
+	if o.Pool != "" {
+		s.moveAnswered(now, o, answer)
+		return
+	}
 	w := s.waves[o.Wave]
 	if w == nil {
 		return
@@ -198,6 +202,9 @@
 			continue
 		}
 		m := s.machines[p.machine]
+		if s.moves[p.machine] != nil || m.Away {
+			continue
+		}
 		idle := s.config.Pools[m.Pool].Spare
 		if p.chosen.IsZero() {
 			if !idle && !p.doubt && (down+chosen >= slots || !s.mayTake(now, s.workers[m.Worker], false)) {
