Spread lasting tasks so that one machine's upkeep stays within what may be away

Cause: tasks that pack onto few workers put two tasks of one lasting step on a machine, whose upkeep then never fitted the step's allowance: 4 of 26 machines were left at the end of the wave.

--- a/core/sched/lend.go
+++ b/core/sched/lend.go
@@ -160,9 +160,9 @@
 			continue
 		}
 		for i := range j.Steps {
-			if step := &j.Steps[i]; step.Lasting && step.MaxPerWorker > 0 {
+			if step := &j.Steps[i]; step.Lasting && step.mostPerWorker() < step.Count {
 				l := s.lendingOf(s.config.Queues[j.Queue].Pool)
-				l.distinct = max(l.distinct, (step.Count+step.MaxPerWorker-1)/step.MaxPerWorker)
+				l.distinct = max(l.distinct, (step.Count+step.mostPerWorker()-1)/step.mostPerWorker())
 			}
 		}
 	}
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -144,6 +145,19 @@
 	return max(t.lastRun+1, int64(fence)<<runShift+1)
 }
 
+// mostPerWorker returns how many tasks of the step one worker may run. A lasting step is spread so
+// that the upkeep of one machine never takes more tasks than may be away.
+func (p *Step) mostPerWorker() int {
+	most := math.MaxInt
+	if p.MaxPerWorker > 0 {
+		most = p.MaxPerWorker
+	}
+	if p.Lasting && !p.Fills {
+		most = min(most, max(1, p.MayMiss))
+	}
+	return most
+}
+
 // allowed reports whether a step may run on a worker at all.
 func (st *stage) allowed(now time.Time, q Queue, w *worker) bool {
 	if st.step.RequiredLabel != "" && !slices.Contains(w.Labels, st.step.RequiredLabel) {
@@ -166,7 +180,7 @@
 	var best *worker
 	var bestScore score
 	for _, w := range workers {
-		if !size.Fits(w.free()) || !st.allowed(now, q, w) || st.step.MaxPerWorker > 0 && perWorker[w.ID] >= st.step.MaxPerWorker {
+		if !size.Fits(w.free()) || !st.allowed(now, q, w) || perWorker[w.ID] >= st.step.mostPerWorker() {
 			continue
 		}
 		sc := score{
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -217,6 +217,9 @@
 				s.note("Cordoned", TaskID{}, wk.ID, "UpkeepDue", w.Number)
 			}
 		}
+		if !p.doubt && !idle {
+			s.thinOut(s.workers[m.Worker])
+		}
 		if now.Before(p.retry) || !p.doubt && down >= w.Cap || !p.doubt && !idle && !s.mayTake(now, s.workers[m.Worker], now.Sub(p.chosen) < drainPatience) {
 			continue
 		}
@@ -290,6 +293,36 @@
 	return true
 }
 
+// thinOut stops one task of a lasting step of which a chosen worker runs more than may be away at
+// once, when none is away; it starts again on another worker.
+func (s *State) thinOut(w *worker) {
+	if w == nil {
+		return
+	}
+	taken := make(map[*stage]int)
+	for _, r := range w.sorted() {
+		if r.task == nil || !r.task.stage.step.Lasting || r.phase != running {
+			continue
+		}
+		st := r.task.stage
+		taken[st]++
+		if taken[st] > max(1, st.step.MayMiss) && st.away(w) == 0 && !w.stopping(st) {
+			r.phase = stopping
+			s.note("Stop", r.id, w.ID, "UpkeepDue", r.number)
+		}
+	}
+}
+
+// stopping reports whether a run of the step is being stopped on the worker.
+func (w *worker) stopping(st *stage) bool {
+	for _, r := range w.runs {
+		if r.task != nil && r.task.stage == st && r.phase == stopping {
+			return true
+		}
+	}
+	return false
+}
+
 // away counts the tasks of a lasting step, other than those on w, that are not at work.
 func (st *stage) away(w *worker) int {
 	n := 0
