Name in the store the workers on which runs may be, and let silent workers' leases end

Change: looks after a failure renew nothing; a roster is durable before the first start on a worker.

--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -55,6 +55,7 @@
 	faults   map[string]bool
 	cordoned bool // it is chosen for its upkeep
 	leaving  bool // its upkeep was ordered
+	rostered bool // the roster that is durable names it
 	gone     bool // its life is over, though the list may still show it
 }
 
@@ -124,7 +125,7 @@
 		listed[next.ID] = true
 		w := s.workers[next.ID]
 		if w == nil {
-			w = &worker{runs: make(map[TaskID]*run), faults: make(map[string]bool), lapse: now.Add(oldOwnerPatience + lapseBound(s.settings.hold()))}
+			w = &worker{runs: make(map[TaskID]*run), faults: make(map[string]bool), lapse: s.barrier}
 			s.workers[next.ID] = w
 			s.changed = true
 		} else if !w.Born.Equal(next.Born) && next.Born.After(w.Born) {
@@ -178,7 +179,7 @@
 
 // usable reports whether tasks may be started on a worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.looked && !w.Draining && !w.cordoned && w.failures == 0 && !now.Before(w.pause)
+	return w.listed && w.looked && w.rostered && !w.Draining && !w.cordoned && w.failures == 0 && !now.Before(w.pause)
 }
 
 func (w *worker) free() Size { return w.Capacity.Sub(w.used) }
--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -42,6 +42,7 @@
 	for _, w := range workers {
 		s.planLook(now, w, &o)
 	}
+	s.planRoster(workers, &o)
 	s.planSaves(&o)
 	o.Wake = now.Add(planEvery)
 	for _, w := range workers {
@@ -95,7 +96,7 @@
 	look := Look{Worker: w.ID, Acknowledged: w.ackable()}
 	switch {
 	case !w.looked || w.failures > 0:
-		if !w.listed && len(w.runs) == 0 {
+		if !w.listed && len(w.runs) == 0 && (w.gone || now.After(w.lapse)) {
 			return
 		}
 	case w.seen > look.Acknowledged:
@@ -108,7 +109,8 @@
 	case len(w.runs) > 0:
 		look.Wait = lookWait
 	}
-	if w.looked && len(w.runs) > 0 {
+	// A worker that does not answer is not renewed, so that what runs there ends at a known time.
+	if w.looked && w.failures == 0 && len(w.runs) > 0 {
 		look.Until = s.until(now, w)
 		s.extend(now, w)
 	}
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -28,6 +28,9 @@
 	refusedMoves map[moveTarget]bool
 	notes        []Note
 	deposed      bool
+	roster       uint64 // version of the roster that was asked to be stored last
+	// rosterSaving says that a roster is being stored.
+	rosterSaving bool
 	changed      bool      // something that placement depends on has changed
 	placed       time.Time // when tasks were placed last
 	barrier      time.Time // after it, no run of an earlier owner can be left
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -149,7 +149,7 @@
 
 // load reads all that is durable; the returned revision is where the intake goes on.
 func (c *control) load() (uint64, error) {
-	var jobs, progress, workers, waves store.Batch
+	var jobs, progress, workers, waves, roster store.Batch
 	read := func(prefix string, into *store.Batch) error {
 		for {
 			batch, err := c.node.Store.Range(c.ctx, prefix, store.Safety)
@@ -166,7 +166,7 @@
 	for _, r := range []struct {
 		prefix string
 		into   *store.Batch
-	}{{keyJobs, &jobs}, {keyState, &progress}, {keyWaves, &waves}, {c.node.Dialect.WorkersPrefix(), &workers}} {
+	}{{keyJobs, &jobs}, {keyState, &progress}, {keyWaves, &waves}, {keyRoster, &roster}, {c.node.Dialect.WorkersPrefix(), &workers}} {
 		if err := read(r.prefix, r.into); err != nil {
 			return 0, err
 		}
@@ -194,6 +194,15 @@
 		c.state.WaveWas(s)
 	}
 	c.takeWorkers(now, workers)
+	for _, r := range roster.Records {
+		var known sched.Roster
+		if err := json.Unmarshal(r.Value, &known); err != nil {
+			c.node.log("RecordSkipped").Str("Key", r.Key).Err(err).Send()
+			continue
+		}
+		c.revisions[r.Key] = r.Revision
+		c.state.RosterWas(now, known)
+	}
 	return jobs.Revision, nil
 }
 
--- a/io/node/elect.go
+++ b/io/node/elect.go
@@ -20,6 +20,7 @@
 	keyJobs   = "daisysaddle/jobs/"     // accepted jobs, written once
 	keyCancel = "daisysaddle/jobs/x/"   // cancels that an entry stored without the owner
 	keyState  = "daisysaddle/progress/" // written by the owner only
+	keyRoster = "daisysaddle/roster"    // workers on which runs may be
 	keyWaves  = "daisysaddle/waves/"    // progress of maintenance waves
 )
 
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -53,6 +53,9 @@
 	for _, save := range o.Saves {
 		c.save(save)
 	}
+	if o.Roster != nil {
+		c.saveRoster(*o.Roster)
+	}
 	for _, wave := range o.Waves {
 		c.saveWave(wave)
 	}
@@ -125,6 +128,22 @@
 	})
 }
 
+func (c *control) saveRoster(r sched.Roster) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		c.node.log("SaveFailed").Str("Key", keyRoster).Err(err).Send()
+		c.state.RosterFailed()
+		return
+	}
+	c.put(keyRoster, keyRoster, value, func(applied bool) {
+		if applied {
+			c.state.RosterSaved(r)
+			return
+		}
+		c.state.RosterFailed()
+	})
+}
+
 func (c *control) saveWave(s sched.WaveStatus) {
 	own, err := json.Marshal(s)
 	if err != nil {
