--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -118,6 +118,9 @@
 	return time.Duration(float64(lease)*(1+clockDrift)) + lapseSlack
 }
 
+// Confirm records until when no other entry can be the owner.
+func (s *State) Confirm(until time.Time) { s.confirmed = until }
+
 // SetWorkers replaces the list of workers.
 func (s *State) SetWorkers(now time.Time, list []Worker) {
 	listed := make(map[string]bool, len(list))
@@ -228,8 +231,10 @@
 }
 
 // lapseRuns drops everything on a worker whose leases have surely ended.
+//
+// That needs a confirmed ownership: otherwise a successor that reaches the worker may renew them.
 func (s *State) lapseRuns(now time.Time, w *worker) {
-	if !now.After(w.lapse) {
+	if !now.After(w.lapse) || !now.Before(s.confirmed) {
 		return
 	}
 	for _, r := range w.sorted() {
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -34,6 +34,7 @@
 	changed      bool      // something that placement depends on has changed
 	placed       time.Time // when tasks were placed last
 	barrier      time.Time // after it, no run of an earlier owner can be left
+	confirmed    time.Time // no other entry can be the owner before then
 	machined     time.Time // when the list of machines was asked for last
 	listedAt     time.Time // when it was read last
 }
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -26,7 +26,6 @@
 	saves     *store.Batcher
 	saving    context.Context // outlives the ownership, so that saves under way can end; the guard keeps them safe
 	group     errgroup.Group
-	confirmed atomic.Pointer[time.Time]
 	revisions map[string]uint64 // of the progress records
 	listing   bool              // the list of machines is being read
 	ready     atomic.Bool       // all that is durable was read
--- a/io/node/elect.go
+++ b/io/node/elect.go
@@ -36,7 +36,8 @@
 const (
 	ownerLease   = 2400 * time.Millisecond // a dead owner is replaced after this long
 	renewEvery   = ownerLease / 3
-	ownerPatient = 6 * time.Second // an owner that can't reach the platform gives up after this long
+	ownerPatient = 6 * time.Second        // an owner that can't reach the platform gives up after this long
+	leaseMargin  = 200 * time.Millisecond // between the end of a lease here and at the store
 	claimWait    = 2 * time.Second
 )
 
@@ -116,11 +117,11 @@
 
 // claim tries to become the owner, and then owns the workers until that ends.
 func (n *Node) claim(ctx context.Context) error {
+	granted := n.Now()
 	lease, err := n.Store.Grant(ctx, ownerLease)
 	if err != nil {
 		return err
 	}
-	granted := n.Now()
 	o := ownership{Name: n.Name, Incarnation: n.incarnation, Claim: uuid.NewString(), Peer: n.PeerAddress}
 	value, err := json.Marshal(o)
 	if err != nil {
@@ -150,6 +151,7 @@
 // own runs the control loop until the ownership ends, and gives it up if it is still held.
 func (n *Node) own(ctx context.Context, o ownership, lease string, granted time.Time) error {
 	c := n.newControl(ctx, o)
+	c.state.Confirm(granted.Add(ownerLease - leaseMargin))
 	var group errgroup.Group
 	group.Go(func() error { n.keepLease(c, lease, granted); return nil })
 	group.Go(func() error { n.keepRecord(c, o); return nil })
@@ -182,7 +184,7 @@
 		switch {
 		case err == nil:
 			confirmed = sent
-			c.confirmed.Store(&sent)
+			c.confirm(sent)
 		case errors.Is(err, store.ErrNoLease):
 			c.quit(errLeaseLost)
 		case n.Now().Sub(confirmed) > ownerPatient:
@@ -191,6 +193,11 @@
 	}
 }
 
+// confirm notes that the lease was renewed by a call sent at a time.
+func (c *control) confirm(sent time.Time) {
+	c.post(func(time.Time) { c.state.Confirm(sent.Add(ownerLease - leaseMargin)) })
+}
+
 // keepRecord watches for the ownership record being taken away.
 func (n *Node) keepRecord(c *control, o ownership) {
 	after := o.revision
