Play the owner against simulated workers; take a machine only when what runs there is known

Also: an owner without a confirmed lease orders no machines. Ruled out by the trace of the model: orders of an earlier owner, which the fence refuses.

--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -29,8 +29,10 @@
 	for _, w := range workers {
 		s.lapseRuns(now, w)
 	}
-	s.planWaves(now, &o)
-	s.planLending(now, &o)
+	if now.Before(s.confirmed) { // an earlier owner has a stale view of what is away
+		s.planWaves(now, &o)
+		s.planLending(now, &o)
+	}
 	for _, w := range workers {
 		s.planRuns(now, w, &o)
 		s.planPace(now, w, &o)
--- /dev/null
+++ b/core/sched/sched_test.go
@@ -0,0 +1,250 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func TestJobRunsItsStepsInOrder(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"p": 3})
+	w.run(time.Second)
+	w.submit(batch("a", "p", 6, 900, 3))
+	w.run(4 * time.Second)
+	state, known := w.owner.state.JobState("a")
+	must.True(t, known)
+	must.Eq(t, Completed, state)
+	must.Eq(t, 18, len(w.done))
+	must.Eq(t, Completed, w.stored["a"].State)
+}
+
+// TestSilentWorkerIsNotRenewed: a rack fell silent and its lasting tasks were never placed again.
+func TestSilentWorkerIsNotRenewed(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"p": 6})
+	w.run(time.Second)
+	w.submit(lasting("a", "p", 4))
+	w.run(2 * time.Second)
+	must.Eq(t, 4, w.atWork("a"))
+	for id := range w.jobs {
+		must.Eq(t, "a", id)
+	}
+	for _, x := range w.workers {
+		if len(x.runs) > 0 {
+			x.cut = true
+			break
+		}
+	}
+	w.run(8 * time.Second)
+	must.Eq(t, 4, w.atWork("a"))
+}
+
+// TestUnconfirmedOwnerKeepsRuns: an owner cut off with its zone started again what its successor renewed.
+func TestUnconfirmedOwnerKeepsRuns(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"p": 8})
+	w.run(time.Second)
+	w.submit(lasting("a", "p", 6))
+	w.run(2 * time.Second)
+	old := w.owner
+	old.stuck = true
+	near := func(x *simWorker) bool { return machineOf(x) < "m03" }
+	old.reaches = near
+	w.run(2500 * time.Millisecond)
+	w.others = append(w.others, old)
+	w.owner = w.newOwner(2)
+	w.owner.reaches = func(x *simWorker) bool { return !near(x) }
+	w.run(6 * time.Second)
+	must.Eq(t, 6, w.atWork("a"))
+}
+
+// TestSuccessorKnowsHiddenWorkers: the platform lost the entries of workers that a cut hid from the successor.
+func TestSuccessorKnowsHiddenWorkers(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"p": 9})
+	w.run(time.Second)
+	w.submit(lasting("a", "p", 6))
+	w.run(2 * time.Second)
+	w.owner.ended = true
+	for _, x := range w.workers[:3] {
+		x.cut = true
+	}
+	w.owner = w.newOwner(2)
+	w.run(15 * time.Second)
+	must.Eq(t, 6, w.atWork("a"))
+}
+
+func TestLateStartsRunOnce(t *testing.T) {
+	for seed := range uint64(8) {
+		w := newWorld(t, seed, map[string]int{"p": 4})
+		w.run(time.Second)
+		for _, x := range w.workers {
+			x.late = true
+		}
+		for i := range 10 {
+			w.submit(batch(fmt.Sprint("a", i), "p", 4, 900, 2))
+			w.run(200 * time.Millisecond)
+		}
+		w.run(6 * time.Second)
+		for _, x := range w.workers {
+			x.late = false
+		}
+		w.run(20 * time.Second)
+		for id := range w.jobs {
+			state, _ := w.owner.state.JobState(id)
+			must.Eq(t, Completed, state, must.Sprintf("seed %d job %s", seed, id))
+		}
+	}
+}
+
+func TestWaveKeepsLastingTasksWithinTheirAllowance(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"p": 8, "spare": 2})
+	w.run(time.Second)
+	w.submit(lasting("a", "p", 5))
+	w.submit(lasting("b", "p", 5))
+	w.run(2 * time.Second)
+	wave := Wave{Number: 1, Within: 27 * time.Second, Cap: 4}
+	for name := range w.pools {
+		wave.Machines = append(wave.Machines, name)
+	}
+	w.owner.state.AddWave(w.now, wave)
+	began := w.now
+	for !w.waves[1].Completed && w.now.Sub(began) < wave.Within {
+		w.submit(batch(fmt.Sprint("c", w.now.UnixNano()), "p", 3, 900, 1))
+		w.run(300 * time.Millisecond)
+	}
+	must.True(t, w.waves[1].Completed)
+	w.run(3 * time.Second)
+	must.Eq(t, 5, w.atWork("a"))
+}
+
+func TestSuccessorEndsTheWave(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"p": 8})
+	w.run(time.Second)
+	w.submit(lasting("a", "p", 5))
+	w.run(time.Second)
+	wave := Wave{Number: 1, Within: 27 * time.Second, Cap: 4, Machines: []string{"m00", "m01", "m02", "m03", "m04"}}
+	w.owner.state.AddWave(w.now, wave)
+	w.run(4 * time.Second)
+	w.owner.ended = true
+	w.owner = w.newOwner(2)
+	w.owner.state.AddWave(w.now, wave)
+	w.run(20 * time.Second)
+	must.True(t, w.waves[1].Completed)
+}
+
+// TestLendingFollowsTheBurst answers the load of a queue that asks for more than its pool holds while
+// the other pool idles; callers get their jobs done within the objective.
+func TestLendingFollowsTheBurst(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"p": 4, "q": 6, "spare": 4})
+	w.run(time.Second)
+	w.submit(batch("first", "q", 1, 900, 1))
+	sent := make(map[string]time.Time)
+	for i := range 240 { // 8 s of 30 jobs a second of 4.3 core-seconds: twice what the pool holds
+		id := fmt.Sprint("a", i)
+		w.submit(batch(id, "p", 6, 900, 1))
+		sent[id] = w.now
+		w.run(30 * time.Millisecond)
+	}
+	w.run(10 * time.Second)
+	inTime := 0
+	for id, at := range sent {
+		last := at
+		for i := range 6 {
+			last = maxTime(last, w.done[TaskID{id, 0, 0, i}])
+		}
+		if last.Sub(at) < 600*time.Millisecond+1280*time.Millisecond {
+			inTime++
+		}
+	}
+	t.Logf("%d of %d jobs in time, %d moves", inTime, len(sent), w.moved)
+	must.Greater(t, 200, inTime)
+	spare := 0
+	for _, pool := range w.pools {
+		if pool == "spare" {
+			spare++
+		}
+	}
+	must.Eq(t, 12, spare)
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func TestGreyWorkerDoesNotSpendAttempts(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"p": 4})
+	w.run(time.Second)
+	w.workers[0].grey = true
+	for i := range 20 {
+		w.submit(batch(fmt.Sprint("a", i), "p", 4, 900, 1))
+		w.run(100 * time.Millisecond)
+	}
+	w.run(4 * time.Second)
+	for id := range w.jobs {
+		state, _ := w.owner.state.JobState(id)
+		must.Eq(t, Completed, state)
+	}
+}
+
+func TestCancelledJobStops(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"p": 4})
+	w.run(time.Second)
+	w.submit(lasting("a", "p", 3))
+	w.run(time.Second)
+	must.True(t, w.owner.state.Cancel(w.now, "a"))
+	w.run(time.Second)
+	must.Eq(t, 0, w.atWork("a"))
+	must.Eq(t, Cancelled, w.stored["a"].State)
+	must.False(t, w.owner.state.Cancel(w.now, "unknown"))
+}
+
+// TestRandomHistories plays cuts, crashes, late orders, owner changes and outages at random.
+func TestRandomHistories(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		w := newWorld(t, rapid.Uint64().Draw(r, "seed"), map[string]int{"p": 5, "q": 4, "spare": 2})
+		w.run(time.Second)
+		w.submit(lasting("l", "p", 4))
+		fence := uint64(1)
+		for i := range 24 {
+			w.submit(batch(fmt.Sprint("a", i), rapid.SampledFrom([]string{"p", "q"}).Draw(r, "pool"), 1+i%5, 700+100*(i%7), 1+i%3))
+			x := w.workers[rapid.IntRange(0, len(w.workers)-1).Draw(r, "worker")]
+			switch rapid.IntRange(0, 9).Draw(r, "event") {
+			case 0:
+				x.cut = true
+				w.after(5*time.Second, func() { x.cut = false })
+			case 1:
+				x.late = true
+				w.after(3*time.Second, func() { x.late = false })
+			case 2:
+				fence++
+				w.owner.ended = true
+				w.owner = w.newOwner(fence)
+			case 3:
+				w.owner.stuck = true
+				o := w.owner
+				w.after(3*time.Second, func() { o.stuck = false })
+			case 4:
+				fence++
+				o := w.owner
+				o.stuck = true
+				w.others = append(w.others, o)
+				w.after(5*time.Second, func() { o.ended = true })
+				w.owner = w.newOwner(fence)
+			case 5:
+				w.owner.state.AddWave(w.now, Wave{Number: int64(i + 1), Within: 20 * time.Second, Cap: 2, Machines: []string{"m01", "m06"}})
+			}
+			w.run(time.Duration(rapid.IntRange(50, 700).Draw(r, "gap")) * time.Millisecond)
+		}
+		w.run(25 * time.Second)
+		for id := range w.jobs {
+			if state, _ := w.owner.state.JobState(id); id != "l" && state != Completed {
+				t.Fatalf("job %s is %s\n%s", id, state, w.owner.state.dump(id))
+			}
+		}
+		must.Eq(t, 4, w.atWork("l"))
+	})
+}
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -275,6 +275,9 @@
 	if w == nil {
 		return true
 	}
+	if !w.looked && !now.After(w.lapse) {
+		return false // what runs there is not known yet
+	}
 	taken := make(map[*stage]int)
 	for _, r := range w.sorted() {
 		switch {
