Let a successor drop workers that are on no machine; open the breaker on refused calls

And an owner that the store turned away held each submit for 1.5 s before it refused it. Change: a worker that the list of machines does not name has ended; the roster drops it; refusals by the store open the breaker, and an entry whose owner the store turns away accepts by itself.

--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -160,8 +160,17 @@
 func (s *State) SetMachines(now time.Time, list []Machine) {
 	s.listedAt = now
 	clear(s.machines)
+	at := make(map[string]bool, len(list))
 	for _, m := range list {
 		s.machines[m.Name] = m
+		at[m.Worker] = true
+	}
+	// A worker is one life of a machine, so one that is on no machine has ended.
+	for _, w := range s.ordered() {
+		if !w.listed && !w.gone && !at[w.ID] && len(list) > 0 {
+			w.gone = true
+			s.otherLife(now, w)
+		}
 	}
 	s.changed = true
 }
--- a/core/sched/lend.go
+++ b/core/sched/lend.go
@@ -53,6 +53,7 @@
 	drainBacklog  = 1200 * time.Millisecond // waiting work should be gone in this time, about the slack of an objective
 	lendMargin    = 1.15                    // machines are never packed perfectly
 	surplusTime   = 1500 * time.Millisecond // a pool keeps machines it may need again this long, about a move's time
+	surplusLeast  = 400 * time.Millisecond  // another pool's need takes them sooner, but not at each wave of arrivals
 	moveDrain     = 2 * time.Second         // a machine that does not get empty in this time stays
 	moveRetry     = 400 * time.Millisecond
 	moveVisible   = 2 * time.Second // after this long the list of machines must show a move
@@ -228,7 +229,7 @@
 		for l.machines < l.need {
 			name := s.spareMachine(pool)
 			if name == "" {
-				name = s.surplusMachine(pool)
+				name = s.surplusMachine(now, pool)
 			}
 			if name == "" {
 				break
@@ -250,12 +251,12 @@
 }
 
 // surplusMachine returns the emptiest machine of the pools that have more than they need.
-func (s *State) surplusMachine(pool string) string {
+func (s *State) surplusMachine(now time.Time, pool string) string {
 	best, least := "", math.MaxInt
 	for _, name := range sortedKeys(s.machines) {
 		m := s.machines[name]
 		l := s.lendings[m.Pool]
-		if m.Pool == pool || l == nil || l.machines <= l.need || s.config.Pools[m.Pool].Spare || !s.movable(name, m, pool) {
+		if m.Pool == pool || l == nil || l.machines <= l.need || now.Sub(l.surplus) < surplusLeast || s.config.Pools[m.Pool].Spare || !s.movable(name, m, pool) {
 			continue
 		}
 		if n := s.batchRuns(m); n < least {
--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -44,7 +44,7 @@
 	for _, w := range workers {
 		s.planLook(now, w, &o)
 	}
-	s.planRoster(workers, &o)
+	s.planRoster(now, workers, &o)
 	s.planSaves(&o)
 	o.Wake = now.Add(planEvery)
 	for _, w := range workers {
--- a/core/sched/report.go
+++ b/core/sched/report.go
@@ -7,6 +7,9 @@
 	Pool     string
 	Workers  int
 	Usable   int
+	Unknown  int // workers that were not looked at yet, or are not in the durable roster
+	Cordoned int
+	Silent   int  // workers whose last look got no answer
 	Capacity Size // of the usable workers
 	Used     Size
 	Waiting  int // tasks whose turn has come
@@ -32,6 +35,9 @@
 			p.Capacity = p.Capacity.Add(w.Capacity)
 		}
 		p.Running += len(w.runs)
+		p.Unknown += boolInt(!w.looked || !w.rostered)
+		p.Cordoned += boolInt(w.cordoned)
+		p.Silent += boolInt(w.failures > 0)
 		for _, r := range w.runs {
 			if r.phase == doubtful {
 				p.Doubtful++
--- a/core/sched/roster.go
+++ b/core/sched/roster.go
@@ -9,24 +9,31 @@
 	Workers []Worker
 }
 
+// mayRun reports whether something may run on a worker, now or after the next start.
+func (w *worker) mayRun(now time.Time) bool {
+	return !w.gone && (w.listed || len(w.runs) > 0 || !now.After(w.lapse))
+}
+
 // planRoster asks for the roster to be stored when a worker is new in it.
-func (s *State) planRoster(workers []*worker, o *Orders) {
+func (s *State) planRoster(now time.Time, workers []*worker, o *Orders) {
 	if s.rosterSaving {
 		return
 	}
-	missing := false
+	stale := false
 	for _, w := range workers {
-		missing = missing || w.looked && !w.rostered
+		stale = stale || w.rostered != w.mayRun(now)
 	}
-	if !missing {
+	if !stale {
 		return
 	}
 	s.rosterSaving = true
 	s.roster++
 	r := &Roster{Version: s.roster}
 	for _, w := range workers {
-		if w.looked || len(w.runs) > 0 || w.rostered {
+		if w.mayRun(now) {
 			r.Workers = append(r.Workers, w.Worker)
+		} else {
+			w.rostered = false
 		}
 	}
 	o.Roster = r
--- a/core/sched/world_test.go
+++ b/core/sched/world_test.go
@@ -173,7 +173,9 @@
 	w.owner.state.AddJob(w.now, j, Progress{}, false)
 }
 
-func (w *simWorld) after(d time.Duration, f func()) { w.pending = append(w.pending, event{w.now.Add(d), f}) }
+func (w *simWorld) after(d time.Duration, f func()) {
+	w.pending = append(w.pending, event{w.now.Add(d), f})
+}
 
 // run plays the world for a time.
 func (w *simWorld) run(d time.Duration) {
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -279,6 +279,7 @@
 func (c *control) report(now time.Time) {
 	for _, p := range c.state.Report(now) {
 		c.node.log("Pool").Str("Pool", p.Pool).Int("Workers", p.Workers).Int("Usable", p.Usable).
+			Int("Unknown", p.Unknown).Int("Cordoned", p.Cordoned).Int("Silent", p.Silent).
 			Int("Processors", p.Capacity.Processors).Int("UsedProcessors", p.Used.Processors).
 			Int("MemoryMB", p.Capacity.MemoryMB).Int("UsedMemoryMB", p.Used.MemoryMB).
 			Int("Running", p.Running).Int("Waiting", p.Waiting).Int("Doubtful", p.Doubtful).Send()
--- a/io/node/desk.go
+++ b/io/node/desk.go
@@ -31,6 +31,11 @@
 	Reason     string         `json:",omitempty"`
 }
 
+// storeTrouble reports whether a refusal came from the store, which may serve another entry.
+func (v Verdict) storeTrouble() bool {
+	return v.Outcome == OutcomeNotRun && strings.HasPrefix(v.Reason, "Store")
+}
+
 // acceptance is a job that is being accepted here; later requests with its id wait for the same answer.
 type acceptance struct {
 	done    chan struct{}
@@ -44,10 +49,10 @@
 	if c := n.owning(); c != nil {
 		return c.submit(ctx, j)
 	}
-	if v, err := n.askOwner(ctx, "POST", "/jobs/"+j.ID, j); err == nil {
+	if v, err := n.askOwner(ctx, "POST", "/jobs/"+j.ID, j); err == nil && !v.storeTrouble() {
 		return v
 	}
-	// Without the owner nobody knows the load; the store alone can accept.
+	// Without the owner, or with one that the store turns away, nobody knows the load; the store alone can accept.
 	v, _ := n.accept(ctx, j)
 	return v
 }
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -248,7 +248,7 @@
 func (c *Client) count(err error, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !errors.Is(err, ErrUnavailable) {
+	if !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrRateLimited) {
 		c.failures = 0
 		return
 	}
