Let the list of machines decide what an answered upkeep or move ended

The model's machines now answer as the platform does; TestUpkeepDoneBefore fails without the change.

--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -156,15 +156,16 @@
 	}
 }
 
-// SetMachines replaces the list of machines.
-func (s *State) SetMachines(now time.Time, list []Machine) {
-	s.listedAt = now
+// SetMachines replaces the list of machines by one that was asked for at a time.
+func (s *State) SetMachines(now, asked time.Time, list []Machine) {
+	s.listedAt = asked
 	clear(s.machines)
 	at := make(map[string]bool, len(list))
 	for _, m := range list {
 		s.machines[m.Name] = m
 		at[m.Worker] = true
 	}
+	s.settleTaken(now, asked)
 	// A worker is one life of a machine, so one that is on no machine has ended.
 	for _, w := range s.ordered() {
 		if !w.listed && !w.gone && !at[w.ID] && len(list) > 0 {
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -118,6 +118,23 @@
 	must.Eq(t, 5, w.atWork("a"))
 }
 
+// TestUpkeepDoneBefore: a successor took a machine's runs for ended when its order had been carried out before.
+func TestUpkeepDoneBefore(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"p": 8})
+	w.run(time.Second)
+	w.submit(lasting("a", "p", 5))
+	w.run(time.Second)
+	wave := Wave{Number: 1, Within: 27 * time.Second, Cap: 4}
+	for name := range w.pools {
+		wave.Machines = append(wave.Machines, name)
+		w.kept[name] = 1
+	}
+	w.owner.state.AddWave(w.now, wave)
+	w.run(6 * time.Second)
+	must.True(t, w.waves[1].Completed)
+	must.Eq(t, 5, w.atWork("a"))
+}
+
 func TestSuccessorEndsTheWave(t *testing.T) {
 	w := newWorld(t, 1, map[string]int{"p": 8})
 	w.run(time.Second)
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -22,6 +22,7 @@
 	dirty    map[string]*job
 	lendings map[string]*lending // by pool
 	moves    map[string]*move    // by machine
+	taken    map[string]taken    // by machine
 	learned  map[string]*learned // by queue
 	active   bool                // a job has come
 	// refusedMoves holds the moves that the machines' interface called impossible.
@@ -117,7 +118,7 @@
 		fence: fence, settings: settings,
 		jobs: make(map[string]*job), queues: make(map[string]*queue), workers: make(map[string]*worker),
 		waves: make(map[int64]*wave), waved: make(map[int64]WaveStatus), machines: make(map[string]Machine), dirty: make(map[string]*job),
-		lendings: make(map[string]*lending), moves: make(map[string]*move), learned: make(map[string]*learned), refusedMoves: make(map[moveTarget]bool),
+		lendings: make(map[string]*lending), moves: make(map[string]*move), taken: make(map[string]taken), learned: make(map[string]*learned), refusedMoves: make(map[moveTarget]bool),
 		barrier: now.Add(oldOwnerPatience + lapseBound(settings.hold())),
 	}
 }
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -116,14 +116,44 @@
 	s.changed = true
 }
 
-// machineWentDown releases what ran on a machine whose upkeep has begun.
+// machineWentDown notes that an order to a machine was carried out. The answer is the same for an order
+// that was carried out before, when what runs there goes on, so the next list of machines decides.
 func (s *State) machineWentDown(now time.Time, machine string) {
-	w := s.workers[s.machines[machine].Worker]
-	if w == nil {
-		return
+	s.taken[machine] = taken{worker: s.machines[machine].Worker, at: now}
+	s.machined = time.Time{}
+}
+
+// taken is a machine whose order was answered, until a list shows what became of its worker.
+type taken struct {
+	worker string
+	at     time.Time
+}
+
+// settleTaken releases what ran on machines that a list, asked for at a time, shows without their worker.
+func (s *State) settleTaken(now, asked time.Time) {
+	for _, name := range sortedKeys(s.taken) {
+		t := s.taken[name]
+		if !asked.After(t.at) {
+			continue
+		}
+		delete(s.taken, name)
+		w := s.workers[t.worker]
+		if w == nil {
+			continue
+		}
+		if m := s.machines[name]; m.Worker == t.worker && m.Up {
+			s.uncordon(name)
+			w.leaving = false
+			for _, wv := range s.waves {
+				for _, p := range wv.parts {
+					p.back = p.back || p.begun && p.machine == name
+				}
+			}
+			continue
+		}
+		w.gone = true
+		s.otherLife(now, w)
 	}
-	w.gone = true
-	s.otherLife(now, w)
 }
 
 func (s *State) uncordon(machine string) {
--- a/core/sched/world_test.go
+++ b/core/sched/world_test.go
@@ -58,6 +58,7 @@
 	away    map[string]time.Time // machines that are away, until then
 	pools   map[string]string    // by machine
 	fences  map[string]uint64    // by machine
+	kept    map[string]int64     // wave of a machine's last upkeep
 	life    int
 	config  Config
 }
@@ -92,7 +93,7 @@
 	w := &simWorld{
 		t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, simRate)),
 		jobs: make(map[string]Job), stored: make(map[string]Progress), waves: make(map[int64]WaveStatus),
-		done: make(map[TaskID]time.Time), starts: make(map[TaskID]int), away: make(map[string]time.Time), pools: make(map[string]string), fences: make(map[string]uint64),
+		done: make(map[TaskID]time.Time), starts: make(map[TaskID]int), away: make(map[string]time.Time), pools: make(map[string]string), fences: make(map[string]uint64), kept: make(map[string]int64),
 		config: Config{Version: 1, Queues: make(map[string]Queue), Pools: map[string]Pool{"spare": {Name: "spare", Spare: true}}},
 	}
 	w.length = func(TaskID) time.Duration { return 800 * time.Millisecond }
@@ -264,7 +265,8 @@
 		w.after(simDelay, func() { o.state.MachineAnswered(w.now, m, w.machine(o, m)) })
 	}
 	if orders.ListPool {
-		w.after(simDelay, func() { o.state.SetMachines(w.now, w.machines()) })
+		asked := w.now
+		w.after(simDelay, func() { o.state.SetMachines(w.now, asked, w.machines()) })
 	}
 	if o.stuck {
 		for _, s := range orders.Saves {
@@ -453,7 +455,11 @@
 	if until, away := w.away[m.Machine]; away && w.now.Before(until) {
 		return MachineBusy
 	}
+	if m.Pool == "" && w.kept[m.Machine] == m.Wave || m.Pool != "" && w.pools[m.Machine] == m.Pool {
+		return Carried // it was done before
+	}
 	took := simSettings.UpkeepTime
+	w.kept[m.Machine] = m.Wave
 	if m.Pool != "" {
 		took = simSettings.MoveTime
 		w.pools[m.Machine] = m.Pool
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -28,6 +28,7 @@
 	group     errgroup.Group
 	revisions map[string]uint64 // of the progress records
 	listing   bool              // the list of machines is being read
+	relist    bool              // and must be read once more
 	ready     atomic.Bool       // all that is durable was read
 }
 
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -198,21 +198,30 @@
 }
 
 func (c *control) listMachines() {
-	if c.listing || c.node.Machines == nil {
+	if c.node.Machines == nil {
+		return
+	}
+	if c.listing {
+		c.relist = true
 		return
 	}
 	c.listing = true
 	c.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(c.ctx, machineTimeout)
 		defer cancel()
+		asked := c.node.Now()
 		list, err := c.node.Machines.List(ctx)
 		c.post(func(now time.Time) {
 			c.listing = false
+			if c.relist {
+				c.relist = false
+				c.listMachines()
+			}
 			if err != nil {
 				c.node.log("MachinesUnknown").Err(err).Send()
 				return
 			}
-			c.state.SetMachines(now, list)
+			c.state.SetMachines(now, asked, list)
 		})
 		return nil
 	})
