Order by work against worth, serve the most lacking pool first, spare busy pools from waves

Cause 2: spare machines went to pools in the order of their names. Cause 3: waves took machines of full pools, ahead of their time. Leases are shorter, since what runs out of reach is placed again only after them.

--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -97,9 +97,10 @@
 }
 
 const (
-	// holdTime is the lease of what runs on a worker: it outlives a change of the owner (2.5 s)
-	// and its looks, and ends before an entry that fell silent is taken off the platform's list (4.5 s).
-	holdTime = 4500 * time.Millisecond
+	// holdTime is the lease of what runs on a worker: it outlives a change of the owner (2 s), the
+	// successor's first looks and the age of the last renewal (1 s), and is short, because what runs
+	// on a worker out of reach can start elsewhere only when it has ended.
+	holdTime = 3800 * time.Millisecond
 	// clockDrift is the share by which a worker's clock may be slow, with a margin (the bound is 2%).
 	clockDrift = 0.03
 	// lapseSlack covers the time between sending an order and reading the clock.
--- a/core/sched/learn.go
+++ b/core/sched/learn.go
@@ -7,6 +7,8 @@
 	ratio float64 // run time over estimate
 	mean  time.Duration
 	runs  int
+	work  float64 // mean processor-seconds of a job
+	jobs  int
 }
 
 const (
@@ -19,11 +21,7 @@
 
 // learn takes in how long a run took that ended well.
 func (s *State) learn(queue string, step *Step, took time.Duration) {
-	l := s.learned[queue]
-	if l == nil {
-		l = &learned{ratio: 1}
-		s.learned[queue] = l
-	}
+	l := s.learnedOf(queue)
 	l.runs++
 	l.mean += time.Duration(learnWeight * float64(took-l.mean))
 	if l.runs == 1 {
@@ -61,3 +59,34 @@
 	}
 	return longest + s.estimate(st.job.Queue, st.step)
 }
+
+// learnWork takes in the size of an accepted job.
+func (s *State) learnWork(j *Job) {
+	work := 0.0
+	for i := range j.Steps {
+		work += s.estimate(j.Queue, &j.Steps[i]).Seconds() * float64(j.Steps[i].Size.Processors*j.Steps[i].Count) / milli
+	}
+	l := s.learnedOf(j.Queue)
+	l.jobs++
+	l.work += (work - l.work) / float64(min(l.jobs, learnJobs))
+}
+
+// learnJobs is the number of jobs over which the mean size is taken.
+const learnJobs = 100
+
+// meanWork returns the mean processor-seconds of a queue's jobs.
+func (s *State) meanWork(queue string) float64 {
+	return max(minWork, s.learnedOf(queue).work)
+}
+
+// minWork keeps the comparison of sizes finite.
+const minWork = 0.001
+
+func (s *State) learnedOf(queue string) *learned {
+	l := s.learned[queue]
+	if l == nil {
+		l = &learned{ratio: 1}
+		s.learned[queue] = l
+	}
+	return l
+}
--- a/core/sched/lend.go
+++ b/core/sched/lend.go
@@ -49,7 +49,7 @@
 }
 
 const (
-	arrivalWindow = 900 * time.Millisecond  // demand is averaged over this time: a burst lasts some seconds
+	arrivalWindow = 600 * time.Millisecond  // demand is averaged over this time: a burst lasts some seconds
 	drainBacklog  = 1200 * time.Millisecond // waiting work should be gone in this time, about the slack of an objective
 	lendMargin    = 1.15                    // machines are never packed perfectly
 	surplusTime   = 1500 * time.Millisecond // a pool keeps machines it may need again this long, about a move's time
@@ -62,6 +62,7 @@
 // arrived counts a job's work into its pool's demand.
 func (s *State) arrived(now time.Time, j *job) {
 	s.active = true
+	s.learnWork(&j.Job)
 	l := s.lendingOf(s.config.Queues[j.Queue].Pool)
 	l.decay(now)
 	for i := range j.Steps {
@@ -219,24 +220,31 @@
 	return any
 }
 
-// growPools chooses machines for pools that lack some: spare ones first, then those that others don't need.
+// growPools chooses machines for pools that lack some, most lacking first: spare machines, then
+// those that other pools don't need.
 func (s *State) growPools(now time.Time) {
-	for _, pool := range sortedKeys(s.lendings) {
-		l := s.lendings[pool]
-		if _, known := s.config.Pools[pool]; !known {
-			continue
-		}
-		for l.machines < l.need {
-			name := s.spareMachine(pool)
-			if name == "" {
-				name = s.surplusMachine(now, pool)
-			}
-			if name == "" {
-				break
+	full := make(map[string]bool)
+	for {
+		pool, lacks := "", 0
+		for _, name := range sortedKeys(s.lendings) {
+			l := s.lendings[name]
+			if _, known := s.config.Pools[name]; known && !full[name] && l.need-l.machines > lacks {
+				pool, lacks = name, l.need-l.machines
 			}
-			s.beginMove(now, name, pool)
-			l.machines++
 		}
+		if pool == "" {
+			return
+		}
+		name := s.spareMachine(pool)
+		if name == "" {
+			name = s.surplusMachine(now, pool)
+		}
+		if name == "" {
+			full[pool] = true
+			continue
+		}
+		s.beginMove(now, name, pool)
+		s.lendings[pool].machines++
 	}
 }
 
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -65,13 +65,14 @@
 type rank struct {
 	group    int
 	priority int
+	effort   float64
 	due      time.Time
 	id       string
 	step     int
 }
 
 func (r rank) compare(o rank) int {
-	return cmp.Or(cmp.Compare(r.group, o.group), cmp.Compare(r.priority, o.priority), r.due.Compare(o.due), cmp.Compare(r.id, o.id), cmp.Compare(r.step, o.step))
+	return cmp.Or(cmp.Compare(r.group, o.group), cmp.Compare(r.priority, o.priority), cmp.Compare(r.effort, o.effort), r.due.Compare(o.due), cmp.Compare(r.id, o.id), cmp.Compare(r.step, o.step))
 }
 
 // Groups of steps in the order of placement.
@@ -81,6 +82,9 @@
 	groupLate // can't end within its objective any more
 )
 
+// rankOf answers a burst that asks for more than there is: by due time alone all jobs end a little
+// late, so among those that can still be in time the one comes first that needs least work for what
+// it is worth to its caller.
 func (s *State) rankOf(now time.Time, st *stage) rank {
 	q := s.config.Queues[st.job.Queue]
 	r := rank{group: groupInTime, priority: q.Priority, id: st.job.ID, step: st.index}
@@ -92,9 +96,30 @@
 	if now.Add(s.remaining(st)).After(r.due) {
 		r.group = groupLate
 	}
+	left, whole := s.work(st)
+	r.effort = left / (smallJobWorth + whole/s.meanWork(st.job.Queue))
 	return r
 }
 
+// smallJobWorth is what a job without work would be worth, against one of the mean size (users: 0.3 to 0.7).
+const smallJobWorth = 0.43
+
+// work returns the processor-seconds that are left of an occurrence, and those of all of it.
+func (s *State) work(st *stage) (left, whole float64) {
+	for _, other := range st.occurrence.stages {
+		seconds := s.estimate(st.job.Queue, other.step).Seconds() * float64(other.step.Size.Processors) / milli
+		whole += seconds * float64(other.step.Count)
+		for i := range other.tasks {
+			if other.tasks[i].waits() {
+				left += seconds
+			}
+		}
+	}
+	return left, whole
+}
+
+const milli = 1000
+
 // goal returns when the occurrence of a step should be done.
 func (s *State) goal(q Queue, st *stage) time.Time {
 	return st.occurrence.due.Add(s.objective(q, &st.job.Job))
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -130,7 +130,7 @@
 		w.kept[name] = 1
 	}
 	w.owner.state.AddWave(w.now, wave)
-	w.run(6 * time.Second)
+	w.run(wave.Within)
 	must.True(t, w.waves[1].Completed)
 	must.Eq(t, 5, w.atWork("a"))
 }
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -42,7 +42,7 @@
 	drainPatience   = 3 * time.Second        // a chosen machine waits this long for its batch tasks, more than most tasks take
 	upkeepRetry     = 500 * time.Millisecond // pause after an order that was refused or not answered
 	listLag         = 200 * time.Millisecond // the list of machines may lag this much
-	wavesSafety     = 4 * time.Second        // a wave aims to end this long before it is due
+	wavesSafety     = 3                      // a wave aims to end in all but this part of its time, since outages hold it up
 	orderCycleExtra = 1500 * time.Millisecond
 )
 
@@ -237,7 +237,7 @@
 		}
 		idle := s.config.Pools[m.Pool].Spare
 		if p.chosen.IsZero() {
-			if !idle && !p.doubt && (down+chosen >= slots || !s.mayTake(now, s.workers[m.Worker], false)) {
+			if !idle && !p.doubt && (down+chosen >= slots || s.busy(m) && !s.behind(now, w, left) || !s.mayTake(now, s.workers[m.Worker], false)) {
 				continue
 			}
 			p.chosen = now
@@ -265,10 +265,25 @@
 	}
 }
 
+// busy reports whether a machine's pool lacks machines.
+func (s *State) busy(m Machine) bool {
+	l := s.lendings[m.Pool]
+	return l != nil && l.machines <= l.need && s.batchRuns(m) > 0
+}
+
+// behind reports whether a wave has begun with a smaller share of its machines than of its time.
+func (s *State) behind(now time.Time, w *wave, left int) bool {
+	share := float64(now.Sub(w.asked)) / float64(max(time.Second, w.aim()))
+	return share > 1-float64(left)/float64(len(w.parts))
+}
+
+// aim returns the time in which the wave should end.
+func (w *wave) aim() time.Duration { return w.Within - w.Within/wavesSafety }
+
 // waveSlots returns how many machines may be chosen or down now: enough to end in time, no more.
 func (s *State) waveSlots(now time.Time, w *wave, left int) int {
 	cycle := s.settings.UpkeepTime + orderCycleExtra
-	remaining := max(time.Second, w.Within-wavesSafety-now.Sub(w.asked))
+	remaining := max(time.Second, w.aim()-now.Sub(w.asked))
 	need := int((time.Duration(left)*cycle+remaining-1)/remaining) + 1
 	return min(w.Cap, need)
 }
--- a/io/node/elect.go
+++ b/io/node/elect.go
@@ -34,9 +34,9 @@
 }
 
 const (
-	ownerLease   = 2400 * time.Millisecond // a dead owner is replaced after this long
-	renewEvery   = ownerLease / 3
-	ownerPatient = 6 * time.Second        // an owner that can't reach the platform gives up after this long
+	ownerLease   = 2 * time.Second // a dead owner is replaced after this long
+	renewEvery   = ownerLease / 4
+	ownerPatient = 4 * time.Second        // an owner that can't reach the platform gives up; core/sched relies on it
 	leaseMargin  = 200 * time.Millisecond // between the end of a lease here and at the store
 	claimWait    = 2 * time.Second
 )
