--- a/core/sched/lend.go
+++ b/core/sched/lend.go
@@ -139,9 +139,17 @@
 			}
 		}
 	}
+	unsettled := make(map[string]bool)
+	for name := range s.lendings {
+		unsettled[name] = s.unsettled(now, name)
+	}
 	for name, q := range s.queues {
-		l := s.lendingOf(s.config.Queues[name].Pool)
+		pool := s.config.Queues[name].Pool
+		l := s.lendingOf(pool)
 		for _, st := range q.stages {
+			if st.job.inherited && unsettled[pool] {
+				continue // machines can't help yet
+			}
 			n := 0
 			for i := range st.tasks {
 				if st.tasks[i].waits() {
@@ -293,6 +301,9 @@
 		return false
 	}
 	for _, w := range s.waves {
+		if w.done {
+			continue
+		}
 		for _, p := range w.parts {
 			if p.machine == name && (p.down() || !p.begun && !p.chosen.IsZero()) {
 				return false
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -185,6 +185,20 @@
 	must.Eq(t, 12, spare)
 }
 
+// TestLendingAfterADoneWave: a successor took all machines of a wave that was done for still down.
+func TestLendingAfterADoneWave(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"p": 2, "q": 6})
+	w.waves[1] = WaveStatus{Wave: 1, Completed: true, Begun: []string{"m02", "m03", "m04", "m05", "m06", "m07"}}
+	w.owner = w.newOwner(2)
+	w.owner.state.AddWave(w.now, Wave{Number: 1, Within: 20 * time.Second, Cap: 3, Machines: w.waves[1].Begun})
+	for i := range 100 {
+		w.submit(batch(fmt.Sprint("a", i), "p", 6, 900, 1))
+		w.run(30 * time.Millisecond)
+	}
+	w.run(2 * time.Second)
+	must.Greater(t, 1, w.moved)
+}
+
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
