Refuse at once what can't end while it is worth something

Cause: in a burst of several times what all machines hold, accepted jobs waited until they were worth nothing, and callers learnt nothing. The load is played in admit_test.go: six times a fixed pool for 8 s; accepting all ends 73 jobs in time and 323 worthless, refusing ends 72 in time and 74 worthless.

--- /dev/null
+++ b/core/sched/admit_test.go
@@ -0,0 +1,70 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// overload plays 8 s of a queue that asks for six times what its pool holds and returns how many jobs
+// were refused, ended in time, and ended when they were worth nothing any more.
+func overload(t *testing.T, admit bool) (refused, inTime, worthless int) {
+	w := newWorld(t, 1, map[string]int{"p": 3})
+	w.run(time.Second)
+	sent := make(map[string]time.Time)
+	for i := range 400 { // 50 jobs a second of 4.3 core-seconds, on 48 cores
+		j := batch(fmt.Sprint("a", i), "p", 6, 900, 1)
+		if r := w.owner.state.Admit(w.now, j); admit && r.Refused {
+			must.Between(t, leastRetry, r.RetryAfter, mostRetry)
+			refused++
+		} else {
+			w.submit(j)
+			sent[j.ID] = w.now
+		}
+		w.run(20 * time.Millisecond)
+	}
+	w.run(60 * time.Second)
+	objective := w.owner.state.objective(w.config.Queues["q-p"], &Job{Queue: "q-p", Steps: batch("", "p", 6, 900, 1).Steps})
+	for id, at := range sent {
+		last := at
+		for i := range 6 {
+			last = maxTime(last, w.done[TaskID{id, 0, 0, i}])
+		}
+		switch took := last.Sub(at); {
+		case took <= objective:
+			inTime++
+		case took > lateFactor*objective:
+			worthless++
+		}
+	}
+	return refused, inTime, worthless
+}
+
+// TestHopelessJobsAreRefused answers the load of a burst of six times what all machines hold: callers
+// whose jobs can't be in time are told at once, at most one in twenty of those in time is lost by that,
+// and jobs that were accepted and ended worthless fall to a quarter.
+func TestHopelessJobsAreRefused(t *testing.T) {
+	_, baseline, wasted := overload(t, false)
+	refused, inTime, worthless := overload(t, true)
+	t.Logf("accepting all: %d in time, %d worthless; refusing: %d refused, %d in time, %d worthless", baseline, wasted, refused, inTime, worthless)
+	must.Greater(t, 0, refused)
+	must.GreaterEq(t, baseline*95/100, inTime)
+	must.Less(t, wasted/4, worthless)
+}
+
+func TestNothingIsRefusedWithRoom(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"p": 3})
+	w.run(time.Second)
+	for i := range 20 {
+		j := batch(fmt.Sprint("a", i), "p", 6, 900, 2)
+		must.False(t, w.owner.state.Admit(w.now, j).Refused)
+		w.submit(j)
+		w.run(200 * time.Millisecond)
+	}
+	must.False(t, w.owner.state.Admit(w.now, lasting("l", "p", 40)).Refused)
+	r := w.owner.state.Admit(w.now, Job{ID: "x", Queue: "none"})
+	must.True(t, r.Refused)
+	must.Eq(t, "NoSuchQueue", r.Reason)
+}
