--- a/core/sched/admit.go
+++ b/core/sched/admit.go
@@ -38,7 +38,9 @@
 	ahead, all = ahead+busy, all+busy
 	objective := s.objective(q, &j)
 	chain := j.chain(func(p *Step) time.Duration { return s.estimate(j.Queue, p) })
-	drain := func(work, room float64) time.Duration { return time.Duration(work * lendMargin / room * float64(time.Second)) }
+	drain := func(work, room float64) time.Duration {
+		return time.Duration(work * lendMargin / room * float64(time.Second))
+	}
 	if drain(ahead, room)+chain <= objective {
 		return Refusal{}
 	}
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -54,7 +54,8 @@
 type WaveStatus struct {
 	Wave      int64
 	Completed bool
-	Begun     []string // machines whose upkeep has begun
+	Begun     []string  // machines whose upkeep has begun
+	Asked     time.Time `json:",omitzero"` // when the wave was first seen, from which its time counts
 }
 
 // Ask asks the outside policy which workers may run a step.
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -135,6 +135,21 @@
 	must.Eq(t, 5, w.atWork("a"))
 }
 
+// TestWaveTimeOutlivesTheOwner: a successor counted a wave's time from its own begin and ended it too late.
+func TestWaveTimeOutlivesTheOwner(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"p": 8})
+	w.run(time.Second)
+	wave := Wave{Number: 1, Within: 20 * time.Second, Cap: 1, Machines: []string{"m00", "m01", "m02", "m03"}}
+	w.owner.state.AddWave(w.now, wave)
+	asked := w.now
+	w.run(2 * time.Second)
+	w.owner.ended = true
+	w.now = w.now.Add(3 * time.Second)
+	w.owner = w.newOwner(2)
+	w.owner.state.AddWave(w.now, wave)
+	must.True(t, asked.Equal(w.owner.state.waves[1].asked))
+}
+
 func TestSuccessorEndsTheWave(t *testing.T) {
 	w := newWorld(t, 1, map[string]int{"p": 8})
 	w.run(time.Second)
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -36,6 +37,7 @@
 	at       time.Time // when the order was last sent or answered
 	chosen   time.Time // since when its worker takes no new tasks
 	retry    time.Time
+	noted    time.Time // when the log said last why it waits
 }
 
 const (
@@ -51,8 +53,11 @@
 	if _, known := s.waves[w.Number]; known {
 		return
 	}
-	next := &wave{Wave: w, asked: now}
 	was, stored := s.waved[w.Number]
+	if !was.Asked.IsZero() {
+		now = was.Asked
+	}
+	next := &wave{Wave: w, asked: now}
 	next.done, next.settled, next.stored, next.saved = was.Completed, was.Completed, stored, len(was.Begun)
 	for _, m := range w.Machines {
 		next.parts = append(next.parts, &wavePart{machine: m, begun: slices.Contains(was.Begun, m)})
@@ -221,6 +226,9 @@
 			down++
 		case !p.begun && !p.gone:
 			left++
+			if m := s.machines[p.machine]; !m.Up && !s.config.Pools[m.Pool].Spare {
+				p.chosen = time.Time{} // it is down by itself, and must not hold up the others
+			}
 			if !p.chosen.IsZero() {
 				chosen++
 			}
@@ -232,11 +240,12 @@
 			continue
 		}
 		m := s.machines[p.machine]
-		if s.moves[p.machine] != nil || m.Away {
+		idle := s.config.Pools[m.Pool].Spare
+		if s.moves[p.machine] != nil || m.Away || !m.Up && !idle {
 			continue
 		}
-		idle := s.config.Pools[m.Pool].Spare
 		if p.chosen.IsZero() {
+			s.noteHeld(now, w, p)
 			if !idle && !p.doubt && (down+chosen >= slots || s.busy(m) && !s.behind(now, w, left) || !s.mayTake(now, s.workers[m.Worker], false)) {
 				continue
 			}
@@ -250,6 +259,7 @@
 		if !p.doubt && !idle {
 			s.thinOut(s.workers[m.Worker])
 		}
+		s.noteHeld(now, w, p)
 		if now.Before(p.retry) || !p.doubt && down >= w.Cap || !p.doubt && !idle && !s.mayTake(now, s.workers[m.Worker], now.Sub(p.chosen) < drainPatience) {
 			continue
 		}
@@ -265,6 +275,23 @@
 	}
 }
 
+// heldEvery bounds how often the log says why a machine waits for its upkeep.
+const heldEvery = 2 * time.Second
+
+// noteHeld logs why a machine waits once its wave is late.
+func (s *State) noteHeld(now time.Time, w *wave, p *wavePart) {
+	if now.Sub(w.asked) < w.aim() || now.Sub(p.noted) < heldEvery {
+		return
+	}
+	p.noted = now
+	m := s.machines[p.machine]
+	why := s.whyNotTake(now, s.workers[m.Worker], !p.chosen.IsZero())
+	if why == "" && s.busy(m) {
+		why = "PoolLacksMachines"
+	}
+	s.note("Held", TaskID{}, m.Worker, p.machine+" "+why, w.Number)
+}
+
 // busy reports whether a machine's pool lacks machines.
 func (s *State) busy(m Machine) bool {
 	l := s.lendings[m.Pool]
@@ -313,15 +340,20 @@
 }
 
 // mayTake reports whether what runs on a worker may be ended for its upkeep.
+func (s *State) mayTake(now time.Time, w *worker, patient bool) bool {
+	return s.whyNotTake(now, w, patient) == ""
+}
+
+// whyNotTake returns the rule that keeps a worker from being taken for its upkeep, or nothing.
 //
 // Lasting tasks may be away only as far as their step allows; patient says that batch tasks
 // should end first.
-func (s *State) mayTake(now time.Time, w *worker, patient bool) bool {
+func (s *State) whyNotTake(now time.Time, w *worker, patient bool) string {
 	if w == nil {
-		return true
+		return ""
 	}
 	if !w.looked && !now.After(w.lapse) {
-		return false // what runs there is not known yet
+		return "NotLookedAt"
 	}
 	taken := make(map[*stage]int)
 	for _, r := range w.sorted() {
@@ -330,15 +362,15 @@
 		case r.task.stage.step.Lasting:
 			taken[r.task.stage]++
 		case patient && now.Sub(r.since) < drainPatience:
-			return false
+			return "BatchTasksRun"
 		}
 	}
 	for st, n := range taken {
-		if st.away(w)+n > max(1, st.step.MayMiss) {
-			return false
+		if away := st.away(w); away+n > max(1, st.step.MayMiss) {
+			return "TasksAway:" + st.job.ID + "/" + strconv.Itoa(st.index) + ":" + strconv.Itoa(away) + "+" + strconv.Itoa(n)
 		}
 	}
-	return true
+	return ""
 }
 
 // thinOut stops one task of a lasting step of which a chosen worker runs more than may be away at
@@ -387,7 +419,7 @@
 }
 
 func (s *State) saveWave(w *wave, o *Orders) {
-	status := WaveStatus{Wave: w.Number, Completed: w.settled}
+	status := WaveStatus{Wave: w.Number, Completed: w.settled, Asked: w.asked}
 	for _, p := range w.parts {
 		if p.begun {
 			status.Begun = append(status.Begun, p.machine)
