Replace a dead owner sooner; clear the record of an entry's earlier life

Change: the ownership lease is 1.5 s, its renewals have a time-out of their own, and an entry that finds the record of its earlier life removes it at once.

--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -124,8 +124,8 @@
 }
 
 // oldOwnerPatience is how long after a successor's begin an owner that is out of the platform's reach
-// may go on: it gives up 4 s after its last renewal, and its lease has ended 2 s after that.
-const oldOwnerPatience = 2200 * time.Millisecond
+// may go on: it gives up 4 s after its last renewal, and its lease has ended 1.5 s after that.
+const oldOwnerPatience = 2700 * time.Millisecond
 
 // Deposed reports whether a worker or the machines' interface has seen a higher fencing token.
 func (s *State) Deposed() bool { return s.deposed }
--- a/io/node/elect.go
+++ b/io/node/elect.go
@@ -34,8 +34,9 @@
 }
 
 const (
-	ownerLease   = 2 * time.Second // a dead owner is replaced after this long
-	renewEvery   = ownerLease / 4
+	ownerLease   = 1500 * time.Millisecond // a dead owner is replaced after this long; the store grants 1 s and more
+	renewEvery   = 400 * time.Millisecond
+	renewTimeout = 500 * time.Millisecond // beyond the answer of a store that is 60 times slower (240 ms)
 	ownerPatient = 4 * time.Second        // an owner that can't reach the platform gives up; core/sched relies on it
 	leaseMargin  = 200 * time.Millisecond // between the end of a lease here and at the store
 	claimWait    = 2 * time.Second
@@ -81,6 +82,10 @@
 	}
 	o.revision = record.Revision
 	n.noteOwner(&o)
+	if o.Name == n.Name && o.Incarnation != n.incarnation {
+		n.clearOwn(ctx, record)
+		return
+	}
 	for ctx.Err() == nil {
 		batch, err := n.Store.WatchPrefix(ctx, keyOwner, after, claimWait)
 		if err != nil {
@@ -94,6 +99,18 @@
 	}
 }
 
+// clearOwn removes the record of this entry's earlier life, which has surely ended; the fence guards against the rest.
+func (n *Node) clearOwn(ctx context.Context, record store.Record) {
+	patience, cancel := context.WithTimeout(ctx, ownerLease)
+	defer cancel()
+	change := store.Change{Conditions: []store.Condition{{Key: keyOwner, Revision: record.Revision}}, Deletes: []string{keyOwner}}
+	s, err := n.Store.Commit(patience, change)
+	n.log("EarlierLifeCleared").Uint64("Fence", record.Revision).Str("Outcome", string(s.Outcome)).AnErr("Cause", err).Send()
+	if s.Outcome != store.Applied {
+		pause(ctx, retryPause)
+	}
+}
+
 // readOwner reads the ownership record and the store's revision, from which a watch can go on.
 func (n *Node) readOwner(ctx context.Context) (store.Record, uint64, error) {
 	batch, err := n.Store.Range(ctx, keyOwner, store.Safety)
@@ -180,7 +197,9 @@
 	for c.ctx.Err() == nil {
 		pause(c.ctx, renewEvery)
 		sent := n.Now()
-		err := n.Store.Renew(c.ctx, lease)
+		call, cancel := context.WithTimeout(c.ctx, renewTimeout)
+		err := n.Store.Renew(call, lease)
+		cancel()
 		switch {
 		case err == nil:
 			confirmed = sent
