--- a/io/node/desk.go
+++ b/io/node/desk.go
@@ -42,7 +42,16 @@
 	verdict Verdict
 }
 
-const storeRetryAfter = time.Second // the shortest wait that callers understand
+const (
+	leastRetryAfter = time.Second     // the shortest wait that callers understand
+	mostRetryAfter  = 4 * time.Second // about the length of an outage
+)
+
+// storeRetryAfter returns when a caller should come back while the store fails: an outage that has
+// lasted for some time is likely to last as long again, and callers come back only a few times.
+func (n *Node) storeRetryAfter() time.Duration {
+	return min(mostRetryAfter, max(leastRetryAfter, n.Store.DownFor(time.Now())))
+}
 
 // Submit takes in a job: it is accepted once it is durable.
 func (n *Node) Submit(ctx context.Context, j sched.Job) Verdict {
@@ -60,7 +69,7 @@
 // accept stores a job under the condition that its id is new; it returns the job that stands there.
 func (n *Node) accept(ctx context.Context, j sched.Job) (Verdict, sched.Job) {
 	if n.Store.Down(time.Now()) {
-		return Verdict{Outcome: OutcomeNotRun, RetryAfter: storeRetryAfter, Reason: "StoreDown"}, j
+		return Verdict{Outcome: OutcomeNotRun, RetryAfter: n.storeRetryAfter(), Reason: "StoreDown"}, j
 	}
 	value, err := sched.EncodeJob(j)
 	if err != nil {
@@ -102,7 +111,7 @@
 	case s.Sent:
 		v = Verdict{Outcome: OutcomeUnknown, Reason: "StoreUnanswered"}
 	default:
-		v = Verdict{Outcome: OutcomeNotRun, RetryAfter: storeRetryAfter, Reason: "StoreRefused"}
+		v = Verdict{Outcome: OutcomeNotRun, RetryAfter: n.storeRetryAfter(), Reason: "StoreRefused"}
 	}
 	n.log("Accept").Str("Job", j.ID).Str("Queue", j.Queue).Str("Outcome", string(v.Outcome)).Str("Reason", v.Reason).Uint64("Revision", s.Revision).AnErr("Cause", err).Send()
 	n.metrics.accepts.WithLabelValues(string(v.Outcome), v.Reason).Inc()
@@ -128,7 +137,7 @@
 func (n *Node) storedState(ctx context.Context, id string) Verdict {
 	record, err := n.Store.Get(ctx, keyState+id, store.Safety)
 	if err != nil {
-		return Verdict{Outcome: OutcomeUnknown, RetryAfter: storeRetryAfter, Reason: "StoreUnanswered"}
+		return Verdict{Outcome: OutcomeUnknown, RetryAfter: n.storeRetryAfter(), Reason: "StoreUnanswered"}
 	}
 	if record.Revision > 0 {
 		p, err := sched.DecodeProgress(record.Value)
@@ -140,7 +149,7 @@
 	record, err = n.Store.Get(ctx, keyJobs+id, store.Safety)
 	switch {
 	case err != nil:
-		return Verdict{Outcome: OutcomeUnknown, RetryAfter: storeRetryAfter, Reason: "StoreUnanswered"}
+		return Verdict{Outcome: OutcomeUnknown, RetryAfter: n.storeRetryAfter(), Reason: "StoreUnanswered"}
 	case record.Revision == 0:
 		return Verdict{Outcome: OutcomeUnheard}
 	}
@@ -168,7 +177,7 @@
 	defer cancel()
 	record, err := n.Store.Get(ctx, keyJobs+id, store.Safety)
 	if err != nil {
-		return Verdict{Outcome: OutcomeNotRun, RetryAfter: storeRetryAfter, Reason: "StoreUnanswered"}
+		return Verdict{Outcome: OutcomeNotRun, RetryAfter: n.storeRetryAfter(), Reason: "StoreUnanswered"}
 	}
 	if record.Revision == 0 {
 		return Verdict{Outcome: OutcomeUnheard}
@@ -193,7 +202,7 @@
 	}
 	v, err := n.askOwner(ctx, "GET", "/queues/"+queue, nil)
 	if err != nil {
-		return Verdict{Outcome: OutcomeNotRun, RetryAfter: storeRetryAfter, Reason: "OwnerUnanswered"}
+		return Verdict{Outcome: OutcomeNotRun, RetryAfter: n.storeRetryAfter(), Reason: "OwnerUnanswered"}
 	}
 	return v
 }
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -54,6 +54,7 @@
 	limiter   *rate.Limiter
 	mu        sync.Mutex
 	failures  int
+	downSince time.Time // of the first failure in a row
 	openUntil time.Time
 }
 
@@ -244,6 +245,16 @@
 // Down reports whether the platform has not answered for some calls in a row.
 func (c *Client) Down(now time.Time) bool { return c.breakerOpen(now) }
 
+// DownFor returns for how long calls have failed in a row.
+func (c *Client) DownFor(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failures == 0 {
+		return 0
+	}
+	return now.Sub(c.downSince)
+}
+
 // count opens the circuit breaker after consecutive failures.
 func (c *Client) count(err error, now time.Time) {
 	c.mu.Lock()
@@ -252,6 +263,9 @@
 		c.failures = 0
 		return
 	}
+	if c.failures == 0 {
+		c.downSince = now
+	}
 	c.failures++
 	if c.failures >= breakerFailures {
 		c.openUntil = now.Add(breakerPeriod)
