--- a/core/sched/admit.go
+++ b/core/sched/admit.go
@@ -33,26 +33,16 @@
 	if room <= 0 {
 		return Refusal{} // nothing is known of the pool yet
 	}
-	ahead, all := s.workAhead(now, &j)
-	busy := s.workRunning(now, q.Pool)
-	ahead, all = ahead+busy, all+busy
+	work := s.workWaiting(now, q.Pool) + s.workRunning(now, q.Pool)
+	wait := time.Duration(work * lendMargin / room * float64(time.Second))
 	objective := s.objective(q, &j)
 	chain := j.chain(func(p *Step) time.Duration { return s.estimate(j.Queue, p) })
-	drain := func(work, room float64) time.Duration {
-		return time.Duration(work * lendMargin / room * float64(time.Second))
-	}
-	if drain(ahead, room)+chain <= objective {
-		return Refusal{}
-	}
-	// A job that can't be in time gets the room that those leave over that can.
-	l := s.lendingOf(q.Pool)
-	l.decay(now)
-	if left := room - l.arrival[0]/milli; left > 0 && drain(all, left)+chain <= lateFactor*objective {
+	if wait+chain <= lateFactor*objective {
 		return Refusal{}
 	}
 	s.arrived(now, &job{Job: j}) // machines must follow the demand of callers who are refused, too
-	// Its turn comes when the work ahead has shrunk to what the slack of its objective allows.
-	retry := drain(ahead, room) + chain - objective
+	// The caller's turn comes when the work ahead has shrunk to what the slack of the objective allows.
+	retry := wait + chain - objective
 	return Refusal{Refused: true, Reason: "Hopeless", RetryAfter: min(mostRetry, max(leastRetry, retry))}
 }
 
@@ -66,57 +56,62 @@
 	return j.Repeats == 0
 }
 
-// batchRoom returns the processors that a pool's machines, those on their way included, have for batch tasks.
+// batchRoom returns the processors for batch tasks that a pool has or can get: it counts the
+// machines that it was found to need, as far as there are so many.
 func (s *State) batchRoom(pool string) float64 {
 	l := s.lendings[pool]
-	if l == nil {
-		return 0
+	unit := s.unitOf(pool)
+	if l == nil || unit.Processors == 0 {
+		return s.listedRoom(pool)
 	}
-	machines := l.machines
-	if len(s.machines) == 0 {
-		machines = 0
-		for _, w := range s.workers {
-			machines += boolInt(w.Pool == pool && w.listed && !w.Draining)
+	free := l.machines
+	for name, other := range s.lendings {
+		if name != pool {
+			free += max(0, other.machines-other.need)
 		}
 	}
-	unit := s.unitOf(pool)
-	if unit.Processors == 0 {
-		for _, w := range s.workers {
-			if w.Pool == pool {
-				unit = w.Capacity
-			}
+	for _, m := range s.machines {
+		if s.config.Pools[m.Pool].Spare && !m.Away {
+			free++
 		}
 	}
+	machines := max(l.machines, min(l.need, free))
 	return (float64(machines*unit.Processors) - l.lasting[0]) / milli
 }
 
-// workAhead returns the processor-seconds of waiting tasks that come before a job, and of all that
-// wait, in the queues that share its pool.
-func (s *State) workAhead(now time.Time, j *Job) (ahead, all float64) {
-	q := s.config.Queues[j.Queue]
-	effort := 0.0
-	for i := range j.Steps {
-		effort += s.estimate(j.Queue, &j.Steps[i]).Seconds() * float64(j.Steps[i].Size.Processors*j.Steps[i].Count) / milli
+// listedRoom returns the processors of a pool's workers, where there is no list of machines.
+func (s *State) listedRoom(pool string) float64 {
+	room := 0
+	for _, w := range s.workers {
+		if w.Pool == pool && w.listed && !w.Draining {
+			room += w.Capacity.Processors
+			for _, r := range w.runs {
+				if r.task != nil && r.task.stage.step.Lasting {
+					room -= r.size.Processors
+				}
+			}
+		}
 	}
-	effort /= smallJobWorth + effort/s.meanWork(j.Queue)
-	blocked := s.unsettled(now, q.Pool)
+	return float64(room) / milli
+}
+
+// workWaiting returns the processor-seconds of the waiting batch tasks of the queues that share a pool.
+func (s *State) workWaiting(now time.Time, pool string) float64 {
+	work := 0.0
+	blocked := s.unsettled(now, pool)
 	for name, other := range s.queues {
-		if s.config.Queues[name].Pool != q.Pool {
+		if s.config.Queues[name].Pool != pool {
 			continue
 		}
 		for _, st := range other.stages {
-			if st.step.Lasting || st.job.state.Final() || blocked && st.job.inherited {
+			if st.step.Lasting || st.step.Fills || st.job.state.Final() || blocked && st.job.inherited {
 				continue
 			}
 			left, _ := s.work(st)
-			all += left
-			r := s.rankOf(now, st)
-			if r.group == groupInTime && (r.priority < q.Priority || r.priority == q.Priority && r.effort <= effort) {
-				ahead += left
-			}
+			work += left
 		}
 	}
-	return ahead, all
+	return work
 }
 
 // workRunning returns the processor-seconds that are left of a pool's running batch tasks.
