--- a/core/sched/lend.go
+++ b/core/sched/lend.go
@@ -11,7 +11,8 @@
 
 // lending is what is known of one pool's demand.
 type lending struct {
-	arrival  vector // resource-seconds asked for each second
+	arrival  vector // resource-seconds asked for each second, over arrivalWindow
+	steady   vector // the same over steadyWindow
 	at       time.Time
 	surplus  time.Time // since when the pool has had more machines than it needs
 	backlog  vector    // resource-seconds of waiting tasks
@@ -49,12 +50,14 @@
 }
 
 const (
-	arrivalWindow = 600 * time.Millisecond  // demand is averaged over this time: a burst lasts some seconds
+	arrivalWindow = 400 * time.Millisecond  // demand is averaged over this time: a burst lasts some seconds
+	steadyWindow  = 1500 * time.Millisecond // long enough to even out chance, short against a burst
+	burstFactor   = 1.4                     // the short mean beside the long one that tells a burst's begin
 	drainBacklog  = 1200 * time.Millisecond // waiting work should be gone in this time, about the slack of an objective
 	lendMargin    = 1.15                    // machines are never packed perfectly
-	surplusTime   = 1500 * time.Millisecond // a pool keeps machines it may need again this long, about a move's time
+	surplusTime   = 2200 * time.Millisecond // a pool keeps machines it may need again this long, about a move's time
 	surplusLeast  = 400 * time.Millisecond  // another pool's need takes them sooner, but not at each wave of arrivals
-	moveDrain     = 2 * time.Second         // a machine that does not get empty in this time stays
+	moveDrain     = 3 * time.Second         // a machine that does not get empty in this time stays
 	moveRetry     = 400 * time.Millisecond
 	moveVisible   = 2 * time.Second // after this long the list of machines must show a move
 )
@@ -72,14 +75,16 @@
 		}
 		seconds := s.estimate(j.Queue, step).Seconds() * float64(step.Count)
 		l.arrival = l.arrival.plus(step.reserved().vector(), seconds/arrivalWindow.Seconds())
+		l.steady = l.steady.plus(step.reserved().vector(), seconds/steadyWindow.Seconds())
 	}
 }
 
 func (l *lending) decay(now time.Time) {
 	if !l.at.IsZero() {
-		keep := math.Exp(-now.Sub(l.at).Seconds() / arrivalWindow.Seconds())
+		past := now.Sub(l.at).Seconds()
 		for i := range l.arrival {
-			l.arrival[i] *= keep
+			l.arrival[i] *= math.Exp(-past / arrivalWindow.Seconds())
+			l.steady[i] *= math.Exp(-past / steadyWindow.Seconds())
 		}
 	}
 	l.at = now
@@ -206,7 +211,7 @@
 		if unit[i] <= 0 {
 			continue
 		}
-		batch := max(l.arrival[i]+l.backlog[i]/drainBacklog.Seconds(), 0)
+		batch := l.expected(i) + l.backlog[i]/drainBacklog.Seconds()
 		if running := l.held[i] - l.lasting[i]; l.backlog[i] > 0 {
 			batch = max(batch, running)
 		}
@@ -215,6 +220,15 @@
 	return max(int(math.Ceil(machines)), l.distinct+1, 1)
 }
 
+// expected returns the arrival of a resource to plan for: what came just now when a burst begins,
+// else the lower of the short and the long mean, so that chance does not hold machines.
+func (l *lending) expected(i int) float64 {
+	if l.arrival[i] > burstFactor*l.steady[i] {
+		return l.arrival[i]
+	}
+	return min(l.steady[i], l.arrival[i]*burstFactor)
+}
+
 // unitOf returns the size of a pool's machines, or of any machine when it has none.
 func (s *State) unitOf(pool string) Size {
 	var any Size
@@ -266,22 +280,39 @@
 	return ""
 }
 
-// surplusMachine returns the emptiest machine of the pools that have more than they need.
+// surplusMachine returns the machine of the pools that have more than they need that gets empty first.
 func (s *State) surplusMachine(now time.Time, pool string) string {
-	best, least := "", math.MaxInt
+	best, least := "", time.Duration(math.MaxInt64)
 	for _, name := range sortedKeys(s.machines) {
 		m := s.machines[name]
 		l := s.lendings[m.Pool]
 		if m.Pool == pool || l == nil || l.machines <= l.need || now.Sub(l.surplus) < surplusLeast || s.config.Pools[m.Pool].Spare || !s.movable(name, m, pool) {
 			continue
 		}
-		if n := s.batchRuns(m); n < least {
-			best, least = name, n
+		if t := s.emptyIn(now, m); t < least {
+			best, least = name, t
 		}
 	}
 	return best
 }
 
+// emptyIn returns when a machine's batch tasks are expected to have ended.
+func (s *State) emptyIn(now time.Time, m Machine) time.Duration {
+	longest := time.Duration(0)
+	w := s.workers[m.Worker]
+	if w == nil {
+		return longest
+	}
+	for _, r := range w.runs {
+		if r.task == nil {
+			continue
+		}
+		st := r.task.stage
+		longest = max(longest, time.Millisecond, s.estimate(st.job.Queue, st.step)-now.Sub(r.since))
+	}
+	return longest
+}
+
 // batchRuns counts what runs on a machine.
 func (s *State) batchRuns(m Machine) int {
 	if w := s.workers[m.Worker]; w != nil {
@@ -344,14 +375,14 @@
 			continue
 		}
 		for l.machines > l.need {
-			best, least := "", math.MaxInt
+			best, least := "", time.Duration(math.MaxInt64)
 			for _, name := range sortedKeys(s.machines) {
 				m := s.machines[name]
 				if m.Pool != pool || !s.movable(name, m, spare) {
 					continue
 				}
-				if n := s.batchRuns(m); n < least {
-					best, least = name, n
+				if t := s.emptyIn(now, m); t < least {
+					best, least = name, t
 				}
 			}
 			if best == "" {
@@ -406,12 +437,51 @@
 		return
 	}
 	if w := s.workers[s.machines[name].Worker]; w != nil && len(w.runs) > 0 && !mv.doubt {
+		s.vacate(now, w, mv)
 		return
 	}
 	mv.inFlight = true
 	o.Machines = append(o.Machines, MachineOrder{Machine: name, Pool: mv.to})
 }
 
+// vacateLeast is how much of a task must be left for a stop and a resumption to pay.
+const vacateLeast = 600 * time.Millisecond
+
+// vacate stops tasks that save their progress on a machine that another pool waits for, as far as
+// other workers of its pool have room for them at once.
+func (s *State) vacate(now time.Time, w *worker, mv *move) {
+	if s.config.Pools[mv.to].Spare || s.lendings[mv.to] == nil || s.lendings[mv.to].backlog == (vector{}) {
+		return
+	}
+	for _, r := range w.sorted() {
+		if r.task == nil || r.phase != running || !r.task.stage.step.Checkpoint || r.task.stage.step.Gang {
+			continue
+		}
+		st := r.task.stage
+		if s.estimate(st.job.Queue, st.step)-now.Sub(r.since) < vacateLeast || !s.takeRoom(now, w, r.size) {
+			continue
+		}
+		r.phase = stopping
+		s.note("Stop", r.id, w.ID, "MachineMoves", r.number)
+	}
+}
+
+// takeRoom reports whether another usable worker of the pool has room for a task, and counts it as given away.
+func (s *State) takeRoom(now time.Time, from *worker, size Size) bool {
+	if !s.vacated.Equal(now) {
+		s.vacated = now
+		clear(s.promised)
+	}
+	for _, w := range s.ordered() {
+		if w == from || w.Pool != from.Pool || !w.usable(now) || !size.Fits(w.free().Sub(s.promised[w.ID])) {
+			continue
+		}
+		s.promised[w.ID] = s.promised[w.ID].Add(size)
+		return true
+	}
+	return false
+}
+
 // moveAnswered takes in what became of a move.
 func (s *State) moveAnswered(now time.Time, order MachineOrder, answer Answer) {
 	mv := s.moves[order.Machine]
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -25,6 +25,8 @@
 	taken    map[string]taken    // by machine
 	learned  map[string]*learned // by queue
 	active   bool                // a job has come
+	promised map[string]Size     // room given away to tasks that make way, in the plan at vacated
+	vacated  time.Time
 	// refusedMoves holds the moves that the machines' interface called impossible.
 	refusedMoves map[moveTarget]bool
 	notes        []Note
@@ -118,7 +120,7 @@
 		fence: fence, settings: settings,
 		jobs: make(map[string]*job), queues: make(map[string]*queue), workers: make(map[string]*worker),
 		waves: make(map[int64]*wave), waved: make(map[int64]WaveStatus), machines: make(map[string]Machine), dirty: make(map[string]*job),
-		lendings: make(map[string]*lending), moves: make(map[string]*move), taken: make(map[string]taken), learned: make(map[string]*learned), refusedMoves: make(map[moveTarget]bool),
+		lendings: make(map[string]*lending), moves: make(map[string]*move), taken: make(map[string]taken), learned: make(map[string]*learned), refusedMoves: make(map[moveTarget]bool), promised: make(map[string]Size),
 		barrier: now.Add(oldOwnerPatience + lapseBound(settings.hold())),
 	}
 }
