--- a/core/sched/lend.go
+++ b/core/sched/lend.go
@@ -231,15 +231,15 @@
 
 // unitOf returns the size of a pool's machines, or of any machine when it has none.
 func (s *State) unitOf(pool string) Size {
-	var any Size
+	var other Size
 	for _, name := range sortedKeys(s.machines) {
 		m := s.machines[name]
 		if m.Pool == pool {
 			return m.Capacity
 		}
-		any = m.Capacity
+		other = m.Capacity
 	}
-	return any
+	return other
 }
 
 // growPools chooses machines for pools that lack some, most lacking first: spare machines, then
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -175,7 +175,7 @@
 		if w.done {
 			continue
 		}
-		s.noteMachines(now, w)
+		s.noteMachines(w)
 		if !w.settled {
 			s.wantMachines(now, o)
 			s.carryWave(now, w, o)
@@ -193,7 +193,7 @@
 }
 
 // noteMachines learns from the list which machines are back or gone.
-func (s *State) noteMachines(now time.Time, w *wave) {
+func (s *State) noteMachines(w *wave) {
 	if len(s.machines) == 0 {
 		return
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -160,6 +160,9 @@
 // Config returns the configuration in force, or nil before there is one.
 func (n *Node) Config() *Config { return n.config.Load() }
 
+// Use puts a configuration in force unless a newer one is.
+func (n *Node) Use(c *Config) { n.takeConfig(c) }
+
 func (n *Node) log(event string) *zerolog.Event { return n.Log.Info().Str("Event", event) }
 
 // watchOperator keeps the operator's configuration and waves in force.
--- /dev/null
+++ b/io/node/node_test.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
+
+	"daisysaddle/core/sched"
+	"daisysaddle/io/stand"
+)
+
+func TestJobsRunOnceOverEntries(t *testing.T) {
+	c, _ := newCluster(t, 3, 0)
+	c.await("entries have their configuration", func() bool { return c.nodes[2].Ready() && c.nodes[1].Ready() })
+	var group errgroup.Group
+	for i := range 30 {
+		for _, n := range c.nodes { // the same id at every entry at once
+			group.Go(func() error {
+				must.Eq(t, OutcomeDone, n.Submit(t.Context(), job(fmt.Sprint("j", i), 4)).Outcome)
+				return nil
+			})
+		}
+	}
+	must.NoError(t, group.Wait())
+	must.Eq(t, 30, c.accepted())
+	for i := range 30 {
+		id := fmt.Sprint("j", i)
+		c.await(id+" is completed", func() bool { return c.state(c.nodes[i%3], id) == sched.Completed })
+		must.Eq(t, 5, c.fleet.count(id))
+	}
+}
+
+func TestLostAnswersOnAccept(t *testing.T) {
+	c, _ := newCluster(t, 2, 0)
+	c.platform.SetFaults(stand.Faults{LoseAnswers: 0.4})
+	for i := range 10 {
+		id := fmt.Sprint("j", i)
+		v := c.nodes[i%2].Submit(t.Context(), job(id, 2))
+		if v.Outcome == OutcomeUnknown { // the caller asks again elsewhere
+			v = c.nodes[(i+1)%2].Submit(t.Context(), job(id, 2))
+		}
+		must.Eq(t, OutcomeDone, v.Outcome)
+	}
+	c.platform.SetFaults(stand.Faults{})
+	for i := range 10 {
+		id := fmt.Sprint("j", i)
+		c.await(id+" is completed", func() bool { return c.state(c.nodes[0], id) == sched.Completed })
+		must.Eq(t, 3, c.fleet.count(id))
+	}
+}
+
+func TestRefusalInAnOutageIsTrueAndAtOnce(t *testing.T) {
+	c, backends := newCluster(t, 1, 0)
+	for _, b := range backends {
+		b.setDown(true)
+	}
+	c.await("the breaker opens", func() bool { return c.nodes[0].Store.Down(time.Now()) })
+	began := time.Now()
+	v := c.nodes[0].Submit(t.Context(), job("refused", 2))
+	must.Eq(t, OutcomeNotRun, v.Outcome)
+	must.GreaterEq(t, time.Second, v.RetryAfter)
+	must.Less(t, 100*time.Millisecond, time.Since(began))
+	for _, b := range backends {
+		b.setDown(false)
+	}
+	c.await("the store is back", func() bool { return c.nodes[0].Submit(t.Context(), job("later", 2)).Outcome == OutcomeDone })
+	c.await("later is completed", func() bool { return c.state(c.nodes[0], "later") == sched.Completed })
+	must.Eq(t, 0, c.fleet.count("refused"))
+}
+
+// TestEntryAcceptsWhileTheStoreTurnsTheOwnerAway: an owner that the store refuses does not keep the others from accepting.
+func TestEntryAcceptsWhileTheStoreTurnsTheOwnerAway(t *testing.T) {
+	c, backends := newCluster(t, 2, 0)
+	c.await("the second entry is ready", c.nodes[1].Ready)
+	backends[0].setDown(true)
+	must.Eq(t, OutcomeDone, c.nodes[1].Submit(t.Context(), job("j", 2)).Outcome)
+	c.await("the second entry owns", func() bool { return c.nodes[1].owning() != nil })
+	c.await("j is completed", func() bool { return c.state(c.nodes[1], "j") == sched.Completed })
+	must.Eq(t, 3, c.fleet.count("j"))
+}
+
+func TestSuccessorFinishesTheWork(t *testing.T) {
+	c, _ := newCluster(t, 2, 0)
+	c.await("the second entry is ready", c.nodes[1].Ready)
+	for i := range 20 {
+		must.Eq(t, OutcomeDone, c.nodes[1].Submit(t.Context(), job(fmt.Sprint("j", i), 6)).Outcome)
+	}
+	c.nodes[0].Stopping()
+	c.await("the second entry owns", func() bool { return c.nodes[1].owning() != nil })
+	for i := range 20 {
+		id := fmt.Sprint("j", i)
+		c.await(id+" is completed", func() bool { return c.state(c.nodes[1], id) == sched.Completed })
+		must.Eq(t, 7, c.fleet.count(id))
+	}
+	must.False(t, c.nodes[0].Ready())
+}
+
+func TestCancelIsDurable(t *testing.T) {
+	c, _ := newCluster(t, 2, 0)
+	c.await("the second entry is ready", c.nodes[1].Ready)
+	must.Eq(t, OutcomeUnheard, c.nodes[1].Cancel(t.Context(), "unknown").Outcome)
+	must.Eq(t, OutcomeUnheard, c.nodes[1].State(t.Context(), "unknown").Outcome)
+	long := job("j", 2)
+	long.Steps[0].Lasting = true
+	must.Eq(t, OutcomeDone, c.nodes[1].Submit(t.Context(), long).Outcome)
+	must.Eq(t, OutcomeDone, c.nodes[1].Cancel(t.Context(), "j").Outcome)
+	must.Eq(t, sched.Cancelled, c.nodes[1].storedState(t.Context(), "j").State)
+	must.Eq(t, sched.Cancelled, c.state(c.nodes[0], "j"))
+}
+
+// TestCancelWithoutTheOwner: an entry that can't reach the owner stores the cancel for it to find.
+func TestCancelWithoutTheOwner(t *testing.T) {
+	c, _ := newCluster(t, 1, 0)
+	long := job("j", 2)
+	long.Steps[0].Lasting = true
+	must.Eq(t, OutcomeDone, c.nodes[0].Submit(t.Context(), long).Outcome)
+	must.Eq(t, OutcomeDone, c.nodes[0].storeCancel(t.Context(), "j").Outcome)
+	c.await("the owner finds the cancel", func() bool { return c.state(c.nodes[0], "j") == sched.Cancelled })
+}
+
+func TestForeignRecordsAreSkipped(t *testing.T) {
+	c, _ := newCluster(t, 1, 0)
+	c.put(keyJobs+"foreign", "no job")
+	c.put(fakeWorkers+"foreign", []int{1})
+	must.Eq(t, OutcomeDone, c.nodes[0].Submit(t.Context(), job("j", 2)).Outcome)
+	c.await("j is completed", func() bool { return c.state(c.nodes[0], "j") == sched.Completed })
+}
--- /dev/null
+++ b/io/store/batch_test.go
@@ -0,0 +1,87 @@
+package store_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"daisysaddle/io/stand"
+	"daisysaddle/io/store"
+)
+
+// TestBatchedCreatesHappenOnce creates 300 keys twice while answers are lost: each key is created by
+// exactly one of the two, and nobody is told otherwise.
+func TestBatchedCreatesHappenOnce(t *testing.T) {
+	p := &stand.Platform{Seed: 7, Unlimited: true}
+	p.SetFaults(stand.Faults{LoseAnswers: 0.4})
+	var mu sync.Mutex
+	applied := make(map[string][]string)
+	var waits sync.WaitGroup
+	for _, writer := range []string{"a", "b"} {
+		b := &store.Batcher{Client: newClient(p), Gather: time.Millisecond, Patience: 20 * time.Second}
+		for i := range 300 {
+			key := fmt.Sprint("k", i)
+			change := store.Change{Conditions: []store.Condition{{Key: key}}, Puts: []store.Record{{Key: key, Value: []byte(writer)}}}
+			waits.Add(1)
+			b.Submit(t.Context(), change, func(s store.Settlement, _ error) {
+				defer waits.Done()
+				mu.Lock()
+				defer mu.Unlock()
+				if s.Outcome == store.Applied {
+					applied[key] = append(applied[key], writer)
+				}
+			})
+		}
+		t.Cleanup(b.Wait)
+	}
+	waits.Wait()
+	for i := range 300 {
+		key := fmt.Sprint("k", i)
+		record, err := p.Get(t.Context(), key)
+		must.NoError(t, err)
+		must.Eq(t, []string{string(record.Value)}, applied[key])
+	}
+	must.Less(t, 200, p.Calls()["Commit"])
+}
+
+// TestGuardStopsAnOldOwner: a batch whose guard does not hold any more changes nothing.
+func TestGuardStopsAnOldOwner(t *testing.T) {
+	p := &stand.Platform{Unlimited: true}
+	revision, _, err := p.Commit(t.Context(), store.Change{Puts: []store.Record{{Key: "owner", Value: []byte("1")}}})
+	must.NoError(t, err)
+	b := &store.Batcher{Client: newClient(p), Guard: &store.Condition{Key: "owner", Revision: revision}, Patience: time.Second}
+	put := func(key string) store.Settlement {
+		answer := make(chan store.Settlement, 1)
+		b.Submit(t.Context(), store.Change{Conditions: []store.Condition{{Key: key}}, Puts: []store.Record{{Key: key, Value: []byte("v")}}}, func(s store.Settlement, _ error) { answer <- s })
+		return <-answer
+	}
+	must.Eq(t, store.Applied, put("first").Outcome)
+	_, _, err = p.Commit(t.Context(), store.Change{Puts: []store.Record{{Key: "owner", Value: []byte("2")}}})
+	must.NoError(t, err)
+	must.Eq(t, store.Conflicted, put("second").Outcome)
+	record, err := p.Get(t.Context(), "second")
+	must.NoError(t, err)
+	must.Eq(t, uint64(0), record.Revision)
+	b.Wait()
+}
+
+// TestRefusedCallsOpenTheBreaker: a store that turns this client away counts as down, and for how long is known.
+func TestRefusedCallsOpenTheBreaker(t *testing.T) {
+	p := &stand.Platform{Unlimited: true}
+	c := newClient(p)
+	must.False(t, c.Down(time.Now()))
+	p.SetFaults(stand.Faults{Down: true})
+	for range 6 {
+		_, err := c.Get(t.Context(), "k", store.Safety)
+		must.Error(t, err)
+	}
+	must.True(t, c.Down(time.Now()))
+	must.Positive(t, c.DownFor(time.Now()))
+	p.SetFaults(stand.Faults{})
+	_, err := c.Get(t.Context(), "k", store.Safety)
+	must.NoError(t, err)
+	must.Eq(t, time.Duration(0), c.DownFor(time.Now()))
+}
