--- a/io/node/node.go
+++ b/io/node/node.go
@@ -100,6 +100,7 @@
 	owner       atomic.Pointer[ownership]
 	control     atomic.Pointer[control]
 	stopping    atomic.Bool
+	ownerSilent atomic.Bool // the last request to the owner got no answer that counts
 	accepts     *store.Batcher
 	mesh        *peer.Mesh
 	peers       *http.Client
@@ -154,8 +155,24 @@
 	}
 }
 
-// Ready reports whether the entry should get new connections.
-func (n *Node) Ready() bool { return n.config.Load() != nil && !n.stopping.Load() }
+// Ready reports whether the entry should get new connections: not before it has a configuration, when it
+// stops, or while neither the store nor the owner has answered it for a while, since then other
+// entries serve its callers better.
+func (n *Node) Ready() bool {
+	return n.config.Load() != nil && !n.stopping.Load() && !n.cutOff(time.Now())
+}
+
+// cutOffAfter tells a cut from a few lost answers.
+const cutOffAfter = 700 * time.Millisecond
+
+// cutOff reports whether the entry can accept nothing, neither through the store nor through the owner.
+func (n *Node) cutOff(now time.Time) bool {
+	if n.Store.DownFor(now) < cutOffAfter {
+		return false
+	}
+	o := n.owner.Load()
+	return o == nil || o.Incarnation == n.incarnation || n.ownerSilent.Load()
+}
 
 // Config returns the configuration in force, or nil before there is one.
 func (n *Node) Config() *Config { return n.config.Load() }
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -82,6 +82,16 @@
 	must.Eq(t, 3, c.fleet.count("j"))
 }
 
+// TestCutOffEntryIsUnready: callers of an entry that can reach neither store nor owner are sent to others.
+func TestCutOffEntryIsUnready(t *testing.T) {
+	c, backends := newCluster(t, 1, 0)
+	c.await("the entry is ready", c.nodes[0].Ready)
+	backends[0].setDown(true)
+	c.await("the entry is unready", func() bool { return !c.nodes[0].Ready() })
+	backends[0].setDown(false)
+	c.await("the entry is ready again", c.nodes[0].Ready)
+}
+
 func TestSuccessorFinishesTheWork(t *testing.T) {
 	c, _ := newCluster(t, 2, 0)
 	c.await("the second entry is ready", c.nodes[1].Ready)
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -83,6 +83,12 @@
 
 // askOwner sends a caller's request to the owner; an error says that another way must be tried.
 func (n *Node) askOwner(ctx context.Context, method, path string, body any) (Verdict, error) {
+	v, err := n.callOwner(ctx, method, path, body)
+	n.ownerSilent.Store(err != nil || v.storeTrouble())
+	return v, err
+}
+
+func (n *Node) callOwner(ctx context.Context, method, path string, body any) (Verdict, error) {
 	o := n.owner.Load()
 	if o == nil || o.Incarnation == n.incarnation {
 		return Verdict{}, errNoOwner
