--- a/core/sched/admit.go
+++ b/core/sched/admit.go
@@ -7,6 +7,9 @@
 	Refused    bool
 	Reason     string
 	RetryAfter time.Duration
+	Work       float64       // processor-seconds ahead, on which the refusal rests
+	Room       float64       // processors for them
+	Objective  time.Duration // of the job
 }
 
 const (
@@ -43,7 +46,7 @@
 	s.arrived(now, &job{Job: j}) // machines must follow the demand of callers who are refused, too
 	// The caller's turn comes when the work ahead has shrunk to what the slack of the objective allows.
 	retry := wait + chain - objective
-	return Refusal{Refused: true, Reason: "Hopeless", RetryAfter: min(mostRetry, max(leastRetry, retry))}
+	return Refusal{Refused: true, Reason: "Hopeless", RetryAfter: min(mostRetry, max(leastRetry, retry)), Work: work, Room: room, Objective: objective}
 }
 
 // plainBatch reports whether a job has neither times nor lasting steps.
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -291,6 +291,7 @@
 	}
 	s.markStarted(j)
 	j.state, j.ended = state, now
+	s.notes = append(s.notes, Note{What: "JobEnded", Job: j.ID, Reason: string(state) + " after " + now.Sub(j.accepted).Round(time.Millisecond).String()})
 	s.touch(j)
 	s.changed = true
 }
--- a/io/node/desk.go
+++ b/io/node/desk.go
@@ -31,8 +31,8 @@
 	Reason     string         `json:",omitempty"`
 }
 
-// storeTrouble reports whether a refusal came from the store, which may serve another entry.
-func (v Verdict) storeTrouble() bool {
+// StoreTrouble reports whether a refusal came from the store, which may serve another entry.
+func (v Verdict) StoreTrouble() bool {
 	return v.Outcome == OutcomeNotRun && strings.HasPrefix(v.Reason, "Store")
 }
 
@@ -58,7 +58,7 @@
 	if c := n.owning(); c != nil {
 		return c.submit(ctx, j)
 	}
-	if v, err := n.askOwner(ctx, "POST", "/jobs/"+j.ID, j); err == nil && !v.storeTrouble() {
+	if v, err := n.askOwner(ctx, "POST", "/jobs/"+j.ID, j); err == nil && !v.StoreTrouble() {
 		return v
 	}
 	// Without the owner, or with one that the store turns away, nobody knows the load; the store alone can accept.
@@ -113,7 +113,7 @@
 	default:
 		v = Verdict{Outcome: OutcomeNotRun, RetryAfter: n.storeRetryAfter(), Reason: "StoreRefused"}
 	}
-	n.log("Accept").Str("Job", j.ID).Str("Queue", j.Queue).Str("Outcome", string(v.Outcome)).Str("Reason", v.Reason).Uint64("Revision", s.Revision).AnErr("Cause", err).Send()
+	n.often("Accept").Str("Job", j.ID).Str("Queue", j.Queue).Str("Outcome", string(v.Outcome)).Str("Reason", v.Reason).Uint64("Revision", s.Revision).AnErr("Cause", err).Send()
 	n.metrics.accepts.WithLabelValues(string(v.Outcome), v.Reason).Inc()
 	return v
 }
@@ -188,7 +188,7 @@
 	}
 	s, err := n.Store.Commit(ctx, change)
 	known := s.Outcome == store.Conflicted && len(s.Current) > 0
-	n.log("Cancel").Str("Job", id).Str("Outcome", string(s.Outcome)).AnErr("Cause", err).Send()
+	n.often("Cancel").Str("Job", id).Str("Outcome", string(s.Outcome)).AnErr("Cause", err).Send()
 	if s.Outcome == store.Applied || known {
 		return Verdict{Outcome: OutcomeDone, State: sched.Cancelled}
 	}
@@ -235,17 +235,18 @@
 		if _, known := c.state.JobState(j.ID); known {
 			return Verdict{Outcome: OutcomeDone, Reason: "Known"}
 		}
-		if refusal := c.state.Admit(now, j); refusal.Refused {
-			return Verdict{Outcome: OutcomeNotRun, RetryAfter: refusal.RetryAfter, Reason: refusal.Reason}
+		r := c.state.Admit(now, j)
+		if !r.Refused {
+			return Verdict{}
 		}
-		return Verdict{}
+		c.node.often("Refuse").Str("Job", j.ID).Str("Queue", j.Queue).Str("Reason", r.Reason).Dur("RetryAfter", r.RetryAfter).
+			Float64("WorkAhead", r.Work).Float64("Room", r.Room).Dur("Objective", r.Objective).Uint64("Fence", c.fence).Send()
+		return Verdict{Outcome: OutcomeNotRun, RetryAfter: r.RetryAfter, Reason: r.Reason}
 	})
-	switch {
-	case v.Outcome == OutcomeNotRun:
-		c.node.log("Refuse").Str("Job", j.ID).Str("Queue", j.Queue).Str("Reason", v.Reason).Dur("RetryAfter", v.RetryAfter).Send()
+	if v.Outcome == OutcomeNotRun {
 		c.node.metrics.accepts.WithLabelValues(string(v.Outcome), v.Reason).Inc()
-		return v
-	case v.Outcome == OutcomeDone:
+	}
+	if v.Outcome != "" {
 		return v
 	}
 	v, _ = c.node.accept(ctx, j)
@@ -278,7 +279,7 @@
 	if v.Outcome != OutcomeDone {
 		return v
 	}
-	c.node.log("Cancel").Str("Job", id).Send()
+	c.node.often("Cancel").Str("Job", id).Send()
 	select {
 	case v := <-done:
 		return v
--- a/io/node/fake_test.go
+++ b/io/node/fake_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
 	"golang.org/x/sync/errgroup"
 
@@ -221,8 +220,7 @@
 		n := New(Settings{
 			Name: "e" + string(rune('1'+i)), Zone: "z", Deployment: "test", PeerAddress: freeAddress(t),
 			Bounds: sched.Settings{HoldMost: 6 * time.Second, KeepEnded: time.Minute},
-		})
-		n.Store, n.Workers, n.Dialect, n.Now, n.Log = store.NewClient(b), c.fleet, fakeDialect{}, now, zerolog.Nop()
+		}, Parts{Store: store.NewClient(b), Workers: c.fleet, Dialect: fakeDialect{}, Now: now})
 		c.nodes = append(c.nodes, n)
 		ctx, cancel := context.WithCancel(t.Context())
 		c.stops = append(c.stops, cancel)
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -18,6 +18,8 @@
 	decisions *prometheus.CounterVec
 	orders    *prometheus.HistogramVec
 	store     *prometheus.HistogramVec
+	requests  *prometheus.HistogramVec
+	dropped   prometheus.Counter
 }
 
 const (
@@ -39,8 +41,13 @@
 			Name: "daisysaddle_store_seconds", Help: "Time of calls to the platform's store.",
 			Buckets: prometheus.ExponentialBuckets(firstBucket, bucketFactor, buckets),
 		}, []string{"call", "ok"}),
+		requests: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "daisysaddle_request_seconds", Help: "Time of callers' requests.",
+			Buckets: prometheus.ExponentialBuckets(firstBucket, bucketFactor, buckets),
+		}, []string{"method", "status"}),
+		dropped: prometheus.NewCounter(prometheus.CounterOpts{Name: "daisysaddle_log_lines_dropped_total", Help: "Log lines that were dropped to keep their volume bounded."}),
 	}
-	m.registry.MustRegister(m.accepts, m.decisions, m.orders, m.store)
+	m.registry.MustRegister(m.accepts, m.decisions, m.orders, m.store, m.requests, m.dropped)
 	return m
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -84,16 +84,21 @@
 	Bounds      sched.Settings
 }
 
-// Node is one entry.
-type Node struct {
-	Settings
+// Parts are what an entry works with.
+type Parts struct {
 	Store    *store.Client
 	Workers  Workers
 	Machines Machines // nil when the deployment has none
 	Advisor  Advisor  // nil when the deployment has none
 	Dialect  Dialect
-	Log      zerolog.Logger
 	Now      func() time.Time // a clock that counts suspensions
+}
+
+// Node is one entry.
+type Node struct {
+	Settings
+	Parts
+	Log zerolog.Logger
 
 	incarnation string
 	config      atomic.Pointer[Config]
@@ -105,6 +110,7 @@
 	mesh        *peer.Mesh
 	peers       *http.Client
 	metrics     *metrics
+	events      events
 	background  errgroup.Group
 
 	mu        sync.Mutex
@@ -122,19 +128,20 @@
 	retryPause     = 150 * time.Millisecond
 )
 
-// New returns an entry that is not running yet.
-func New(s Settings) *Node {
-	return &Node{Settings: s, metrics: newMetrics()}
+// New returns an entry that is not running yet; it may be asked from then on.
+func New(s Settings, p Parts) *Node {
+	n := &Node{
+		Settings: s, Parts: p, Log: zerolog.Nop(), metrics: newMetrics(), events: newEvents(), incarnation: uuid.NewString(),
+		waves: make(map[int64]sched.Wave), accepting: make(map[string]*acceptance),
+		accepts: &store.Batcher{Client: p.Store, Gather: acceptGather, Patience: acceptPatience},
+	}
+	n.peers = n.peerClient()
+	p.Store.Observe = n.metrics.storeCall
+	return n
 }
 
 // Run serves until ctx ends; it returns once the ownership has been handed over.
 func (n *Node) Run(ctx context.Context) error {
-	n.incarnation = uuid.NewString()
-	n.waves = make(map[int64]sched.Wave)
-	n.accepting = make(map[string]*acceptance)
-	n.accepts = &store.Batcher{Client: n.Store, Gather: acceptGather, Patience: acceptPatience}
-	n.peers = n.peerClient()
-	n.Store.Observe = n.metrics.storeCall
 	n.log("Start").Str("Zone", n.Zone).Str("Incarnation", n.incarnation).Send()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { n.watchOperator(ctx); return nil })
@@ -180,8 +187,6 @@
 // Use puts a configuration in force unless a newer one is.
 func (n *Node) Use(c *Config) { n.takeConfig(c) }
 
-func (n *Node) log(event string) *zerolog.Event { return n.Log.Info().Str("Event", event) }
-
 // watchOperator keeps the operator's configuration and waves in force.
 func (n *Node) watchOperator(ctx context.Context) {
 	prefix := n.Dialect.OperatorPrefix()
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -226,9 +226,3 @@
 		return nil
 	})
 }
-
-func (n *Node) logNote(fence uint64, note sched.Note) {
-	n.metrics.decisions.WithLabelValues(note.What).Inc()
-	n.log(note.What).Str("Job", note.Job).Int("Occurrence", note.Task.Occurrence).Int("Step", note.Task.Step).Int("Index", note.Task.Index).
-		Str("Worker", note.Worker).Str("Reason", note.Reason).Int64("Run", note.Run).Uint64("Fence", fence).Send()
-}
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -84,7 +84,7 @@
 // askOwner sends a caller's request to the owner; an error says that another way must be tried.
 func (n *Node) askOwner(ctx context.Context, method, path string, body any) (Verdict, error) {
 	v, err := n.callOwner(ctx, method, path, body)
-	n.ownerSilent.Store(err != nil || v.storeTrouble())
+	n.ownerSilent.Store(err != nil || v.StoreTrouble())
 	return v, err
 }
 
