--- a/cmd/daisynode/main.go
+++ b/cmd/daisynode/main.go
@@ -15,7 +15,7 @@
 
 // commands is the command line.
 type commands struct {
-	Settings string `help:"Settings file of the platform." env:"DAISYSADDLE_SETTINGS" required:"" type:"path"`
+	Settings string `help:"Settings file of the platform." env:"${settings_variable}" required:"" type:"path"`
 
 	Entry entryCommand `cmd:"" help:"Run an entry until SIGTERM."`
 	Check checkCommand `cmd:"" help:"Check the settings file and print what is used of it."`
@@ -44,7 +44,8 @@
 
 func main() {
 	var line commands
-	context := kong.Parse(&line, kong.Name("daisynode"), kong.Description("One entry of daisysaddle's job service."))
+	context := kong.Parse(&line, kong.Name("daisynode"), kong.Description("One entry of daisysaddle's job service."),
+		kong.Vars{"settings_variable": platform.SettingsVariable})
 	if err := context.Run(&line); err != nil {
 		fmt.Fprintf(os.Stderr, "daisynode: %s\n", err)
 		os.Exit(1)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -197,7 +197,7 @@
 			n.takeOperator(batch)
 			err = n.followOperator(ctx, prefix, batch.Revision, &up)
 		}
-		if err != nil && up {
+		if err != nil && up && ctx.Err() == nil {
 			up = false
 			n.log("StoreLost").Err(err).Send()
 		}
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -17,28 +17,19 @@
 		n.logNote(c.fence, note)
 	}
 	for _, start := range o.Starts {
-		c.toWorker(start.Worker, orderTimeout, func(ctx context.Context, w sched.Worker) func(time.Time) {
-			sent := time.Now()
-			answer := n.Workers.Start(ctx, w, c.fence, start)
-			n.metrics.order("Start", answer, time.Since(sent))
-			return func(now time.Time) { c.state.StartAnswered(now, start, answer) }
-		})
+		c.order("Start", start.Worker, func(ctx context.Context, w sched.Worker) sched.Answer {
+			return n.Workers.Start(ctx, w, c.fence, start)
+		}, func(now time.Time, a sched.Answer) { c.state.StartAnswered(now, start, a) })
 	}
 	for _, stop := range o.Stops {
-		c.toWorker(stop.Worker, orderTimeout, func(ctx context.Context, w sched.Worker) func(time.Time) {
-			sent := time.Now()
-			answer := n.Workers.Stop(ctx, w, c.fence, stop)
-			n.metrics.order("Stop", answer, time.Since(sent))
-			return func(now time.Time) { c.state.StopAnswered(now, stop, answer) }
-		})
+		c.order("Stop", stop.Worker, func(ctx context.Context, w sched.Worker) sched.Answer {
+			return n.Workers.Stop(ctx, w, c.fence, stop)
+		}, func(now time.Time, a sched.Answer) { c.state.StopAnswered(now, stop, a) })
 	}
 	for _, pace := range o.Paces {
-		c.toWorker(pace.Worker, orderTimeout, func(ctx context.Context, w sched.Worker) func(time.Time) {
-			sent := time.Now()
-			answer := n.Workers.Pace(ctx, w, c.fence, pace)
-			n.metrics.order("Pace", answer, time.Since(sent))
-			return func(now time.Time) { c.state.PaceAnswered(now, pace, answer) }
-		})
+		c.order("Pace", pace.Worker, func(ctx context.Context, w sched.Worker) sched.Answer {
+			return n.Workers.Pace(ctx, w, c.fence, pace)
+		}, func(now time.Time, a sched.Answer) { c.state.PaceAnswered(now, pace, a) })
 	}
 	for _, look := range o.Looks {
 		c.toWorker(look.Worker, look.Wait+lookExtraWait, func(ctx context.Context, w sched.Worker) func(time.Time) {
@@ -70,6 +61,16 @@
 	}
 }
 
+// order sends one order to a worker and hands its answer to the state.
+func (c *control) order(kind, worker string, send func(context.Context, sched.Worker) sched.Answer, take func(time.Time, sched.Answer)) {
+	c.toWorker(worker, orderTimeout, func(ctx context.Context, w sched.Worker) func(time.Time) {
+		sent := time.Now()
+		answer := send(ctx, w)
+		c.node.metrics.order(kind, answer, time.Since(sent))
+		return func(now time.Time) { take(now, answer) }
+	})
+}
+
 // toWorker calls a worker in a goroutine of its own and posts the event that the call returns.
 func (c *control) toWorker(id string, timeout time.Duration, call func(context.Context, sched.Worker) func(time.Time)) {
 	w, known := c.state.Worker(id)
--- a/io/node/serve.go
+++ b/io/node/serve.go
@@ -67,7 +67,6 @@
 		}
 		n.log("Stopping").Dur("Grace", grace).Send()
 		n.Stopping()
-		front.SetKeepAlivesEnabled(true)
 		pause(ctx, min(unreadyTime, max(0, grace-shutdownTime-shutdownReserve)))
 		closing, done := context.WithTimeout(ctx, shutdownTime)
 		defer done()
