Count machines that an earlier owner took down and did not store

Ruled out: the count of one owner's own orders, which holds from the order on. TestSuccessorCountsMachinesThatAreDown fails without the change; the random histories check the cap now, too.

--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -118,6 +118,27 @@
 	must.Eq(t, 5, w.atWork("a"))
 }
 
+// TestSuccessorCountsMachinesThatAreDown: the store had lost what the earlier owner wrote of a wave, and
+// its successor took as many machines again (LIMIT on a day of store troubles, seed 824419861950).
+func TestSuccessorCountsMachinesThatAreDown(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"p": 8, "spare": 6})
+	w.run(time.Second)
+	wave := Wave{Number: 1, Within: 20 * time.Second, Cap: 3}
+	for name := range w.pools {
+		wave.Machines = append(wave.Machines, name)
+	}
+	w.caps[1] = wave.Cap
+	w.owner.state.AddWave(w.now, wave)
+	w.run(100 * time.Millisecond)
+	must.MapLen(t, 3, w.away)
+	w.owner.ended = true
+	clear(w.waves)
+	w.owner = w.newOwner(2)
+	w.owner.state.AddWave(w.now, wave)
+	w.run(20 * time.Second)
+	must.True(t, w.waves[1].Completed)
+}
+
 // TestUpkeepDoneBefore: a successor took a machine's runs for ended when its order had been carried out before.
 func TestUpkeepDoneBefore(t *testing.T) {
 	w := newWorld(t, 1, map[string]int{"p": 8})
@@ -281,7 +302,8 @@
 				w.after(5*time.Second, func() { o.ended = true })
 				w.owner = w.newOwner(fence)
 			case 5:
-				w.owner.state.AddWave(w.now, Wave{Number: int64(i + 1), Within: 20 * time.Second, Cap: 2, Machines: []string{"m01", "m06"}})
+				w.caps[int64(i+1)] = 2
+				w.owner.state.AddWave(w.now, Wave{Number: int64(i + 1), Within: 20 * time.Second, Cap: 2, Machines: []string{"m01", "m03", "m06", "m07"}})
 			}
 			w.run(time.Duration(rapid.IntRange(50, 700).Draw(r, "gap")) * time.Millisecond)
 		}
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -222,8 +222,8 @@
 	down, chosen, left := 0, 0, 0
 	for _, p := range w.parts {
 		switch {
-		case p.down():
-			down++
+		case p.down() || s.machines[p.machine].Away && s.moves[p.machine] == nil:
+			down++ // also one that an earlier owner took down, of which nothing was stored
 		case !p.begun && !p.gone:
 			left++
 			if m := s.machines[p.machine]; !m.Up && !s.config.Pools[m.Pool].Spare {
--- a/core/sched/world_test.go
+++ b/core/sched/world_test.go
@@ -59,6 +59,8 @@
 	pools   map[string]string    // by machine
 	fences  map[string]uint64    // by machine
 	kept    map[string]int64     // wave of a machine's last upkeep
+	upkeep  map[string]time.Time // until when a machine is down for its upkeep
+	caps    map[int64]int        // machines that may be down at once, by wave
 	life    int
 	config  Config
 }
@@ -93,7 +95,7 @@
 	w := &simWorld{
 		t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, simRate)),
 		jobs: make(map[string]Job), stored: make(map[string]Progress), waves: make(map[int64]WaveStatus),
-		done: make(map[TaskID]time.Time), starts: make(map[TaskID]int), away: make(map[string]time.Time), pools: make(map[string]string), fences: make(map[string]uint64), kept: make(map[string]int64),
+		done: make(map[TaskID]time.Time), starts: make(map[TaskID]int), away: make(map[string]time.Time), pools: make(map[string]string), fences: make(map[string]uint64), kept: make(map[string]int64), caps: make(map[int64]int), upkeep: make(map[string]time.Time),
 		config: Config{Version: 1, Queues: make(map[string]Queue), Pools: map[string]Pool{"spare": {Name: "spare", Spare: true}}},
 	}
 	w.length = func(TaskID) time.Duration { return 800 * time.Millisecond }
@@ -463,7 +465,19 @@
 		return Carried // it was done before
 	}
 	took := simSettings.UpkeepTime
-	w.kept[m.Machine] = m.Wave
+	if m.Pool == "" {
+		down := 0
+		for name, until := range w.upkeep {
+			if w.kept[name] == m.Wave && w.now.Before(until) {
+				down++
+			}
+		}
+		if most := w.caps[m.Wave]; most > 0 && down >= most {
+			w.breaks("upkeep of %s begins beside %d others of wave %d", m.Machine, down, m.Wave)
+		}
+		w.kept[m.Machine] = m.Wave
+		w.upkeep[m.Machine] = w.now.Add(took)
+	}
 	if m.Pool != "" {
 		took = simSettings.MoveTime
 		w.pools[m.Machine] = m.Pool
