Order a machine for one wave at a time

Cause: two waves over the same machine both ordered it; the one that was refused made it count as up, so that its lasting tasks were not counted as away and the next machine was taken beside it (AVAIL).

--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -139,6 +139,25 @@
 	must.True(t, w.waves[1].Completed)
 }
 
+// TestTwoWavesOverTheSameMachines: the refusal of one wave's order made the machine, which the other wave's
+// order had taken down, count as up, so that its lasting tasks were no longer counted as away.
+func TestTwoWavesOverTheSameMachines(t *testing.T) {
+	w := newWorld(t, 1, map[string]int{"p": 7})
+	w.run(time.Second)
+	w.submit(lasting("a", "p", 5))
+	w.run(time.Second)
+	for n := range int64(2) {
+		wave := Wave{Number: n + 1, Within: 27 * time.Second, Cap: 4}
+		for name := range w.pools {
+			wave.Machines = append(wave.Machines, name)
+		}
+		w.owner.state.AddWave(w.now, wave)
+	}
+	w.run(27 * time.Second)
+	must.True(t, w.waves[1].Completed)
+	must.True(t, w.waves[2].Completed)
+}
+
 // TestUpkeepDoneBefore: a successor took a machine's runs for ended when its order had been carried out before.
 func TestUpkeepDoneBefore(t *testing.T) {
 	w := newWorld(t, 1, map[string]int{"p": 8})
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -241,7 +241,7 @@
 		}
 		m := s.machines[p.machine]
 		idle := s.config.Pools[m.Pool].Spare
-		if s.moves[p.machine] != nil || m.Away || !m.Up && !idle {
+		if s.moves[p.machine] != nil || m.Away || !m.Up && !idle || s.orderedElsewhere(w, p.machine) {
 			continue
 		}
 		if p.chosen.IsZero() {
@@ -304,6 +304,25 @@
 	return share > 1-float64(left)/float64(len(w.parts))
 }
 
+// orderedElsewhere reports whether a machine was ordered to go down and it is not known yet what became of it,
+// for another wave or an order whose effect no list has shown.
+func (s *State) orderedElsewhere(w *wave, machine string) bool {
+	if _, pending := s.taken[machine]; pending {
+		return true
+	}
+	for _, other := range s.waves {
+		if other == w || other.done {
+			continue
+		}
+		for _, p := range other.parts {
+			if p.machine == machine && (p.inFlight || p.doubt) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // aim returns the time in which the wave should end.
 func (w *wave) aim() time.Duration { return w.Within - w.Within/wavesSafety }
 
