--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -76,18 +76,18 @@
 
 // Orders is what one planning step asks for.
 type Orders struct {
-	Starts   []Start
-	Stops    []Stop
-	Paces    []Pace
-	Looks    []Look
-	Saves    []Save
-	Machines []MachineOrder
-	Waves    []WaveStatus
-	Asks     []Ask
-	Roster   *Roster // to be stored, if set
-	Notes    []Note
-	ListPool bool      // the list of machines should be read again
-	Wake     time.Time // when to plan again without an event; zero for never
+	Starts       []Start
+	Stops        []Stop
+	Paces        []Pace
+	Looks        []Look
+	Saves        []Save
+	Machines     []MachineOrder
+	Waves        []WaveStatus
+	Asks         []Ask
+	Roster       *Roster // to be stored, if set
+	Notes        []Note
+	ListMachines bool      // the list of machines should be read again
+	Wake         time.Time // when to plan again without an event; zero for never
 }
 
 // Answer says what became of an order to a worker or to the machines' interface.
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -188,7 +188,7 @@
 func (s *State) wantMachines(now time.Time, o *Orders) {
 	if now.Sub(s.machined) >= machinesEvery {
 		s.machined = now
-		o.ListPool = true
+		o.ListMachines = true
 	}
 }
 
--- a/core/sched/world_test.go
+++ b/core/sched/world_test.go
@@ -266,7 +266,7 @@
 	for _, m := range orders.Machines {
 		w.after(simDelay, func() { o.state.MachineAnswered(w.now, m, w.machine(o, m)) })
 	}
-	if orders.ListPool {
+	if orders.ListMachines {
 		asked := w.now
 		w.after(simDelay, func() { o.state.SetMachines(w.now, asked, w.machines()) })
 	}
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -226,6 +226,12 @@
 	}
 }
 
+// takeIntake takes in jobs and cancels that others stored. An owner that has not noticed its replacement may
+// have accepted such a job and started its tasks on a worker that this one has not looked at yet.
+func (c *control) takeIntake(now time.Time, records []store.Record) {
+	c.takeJobs(now, records, nil, true)
+}
+
 // followIntake takes in what entries stored without the owner.
 func (c *control) followIntake(after uint64) {
 	for c.ctx.Err() == nil {
@@ -236,7 +242,7 @@
 		if err == nil {
 			after = max(after, batch.Revision)
 			if len(batch.Records) > 0 {
-				c.post(func(now time.Time) { c.takeJobs(now, batch.Records, nil, false) })
+				c.post(func(now time.Time) { c.takeIntake(now, batch.Records) })
 			}
 		}
 		pause(c.ctx, intakePause)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -279,7 +279,7 @@
 func (n *Node) servePeers(ctx context.Context) error {
 	secret, err := n.sharedSecret(ctx)
 	if err != nil {
-		return nil //nolint:nilerr // the context has ended
+		return nil // the context has ended
 	}
 	keys, err := peer.Keys(n.Deployment, secret)
 	if err != nil {
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -56,7 +56,7 @@
 	for _, ask := range o.Asks {
 		c.ask(ask)
 	}
-	if o.ListPool {
+	if o.ListMachines {
 		c.listMachines()
 	}
 }
