Remove state that nothing reads and copies of one logic

Never read: a task's awayAt, a run's moved, a step's firstStart and HasMayMiss, the job that accept returned, unused times. Written twice: the cost of a task, the count of waiting tasks, a new worker's record, the machine that gets empty first, why a run is unwanted (computed twice for each). Ruled out: merging the two windows of demand and the two kinds of store trouble, which differ in what they decide.

--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -91,7 +91,6 @@
 	percent  int
 	figure   int
 	saved    string
-	moved    time.Time // when percent last rose
 	pace     int       // percent that was ordered last
 	paced    time.Time // when it was ordered
 }
@@ -122,6 +121,13 @@
 // Confirm records until when no other entry can be the owner.
 func (s *State) Confirm(until time.Time) { s.confirmed = until }
 
+// addWorker takes in a worker on which runs of an earlier owner may be until the barrier.
+func (s *State) addWorker(known Worker) *worker {
+	w := &worker{Worker: known, runs: make(map[TaskID]*run), faults: make(map[string]bool), lapse: s.barrier}
+	s.workers[known.ID] = w
+	return w
+}
+
 // SetWorkers replaces the list of workers.
 func (s *State) SetWorkers(now time.Time, list []Worker) {
 	listed := make(map[string]bool, len(list))
@@ -129,8 +135,7 @@
 		listed[next.ID] = true
 		w := s.workers[next.ID]
 		if w == nil {
-			w = &worker{runs: make(map[TaskID]*run), faults: make(map[string]bool), lapse: s.barrier}
-			s.workers[next.ID] = w
+			w = s.addWorker(next)
 			s.changed = true
 		} else if !w.Born.Equal(next.Born) && next.Born.After(w.Born) {
 			// Another life at the same id: nothing of the earlier one is left, and a look must show what is.
@@ -220,7 +225,7 @@
 }
 
 // release frees the room of a run that has surely ended; its task waits again unless it is done.
-func (s *State) release(now time.Time, r *run) {
+func (s *State) release(r *run) {
 	if r.worker.runs[r.id] != r {
 		return
 	}
@@ -232,7 +237,6 @@
 		return
 	}
 	t.run = nil
-	t.awayAt = now
 	if r.saved != "" {
 		t.saved = r.saved
 	}
@@ -250,7 +254,7 @@
 	}
 	for _, r := range w.sorted() {
 		s.note("Lapsed", r.id, w.ID, "NoAnswerUntilLeaseEnded", r.number)
-		s.release(now, r)
+		s.release(r)
 	}
 	if w.failures > 0 {
 		w.looked = false
@@ -268,7 +272,7 @@
 // reborn drops the runs of a worker's earlier life.
 //
 // A start without an answer may still be carried out in the new life, so it stays in doubt.
-func (s *State) reborn(now time.Time, w *worker, born time.Time) {
+func (s *State) reborn(w *worker, born time.Time) {
 	w.Born = born
 	w.seen, w.acked, w.ends = 0, 0, nil
 	clear(w.faults)
@@ -277,6 +281,6 @@
 			continue
 		}
 		s.note("Lost", r.id, w.ID, "WorkerStartedAnew", r.number)
-		s.release(now, r)
+		s.release(r)
 	}
 }
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -45,7 +45,6 @@
 	Image         string        `json:",omitempty"`
 	TailTarget    time.Duration `json:",omitempty"` // bound of the response tail of a lasting task
 	MayMiss       int           `json:",omitempty"` // tasks that may be away at once because of disruptions
-	HasMayMiss    bool          `json:",omitempty"`
 }
 
 // Job is the accepted description of a job, which never changes.
--- a/core/sched/learn.go
+++ b/core/sched/learn.go
@@ -47,6 +47,11 @@
 	return time.Duration(float64(step.Estimate) * l.ratio)
 }
 
+// cost returns the processor-seconds that a task of a step is expected to take.
+func (s *State) cost(queue string, step *Step) float64 {
+	return s.estimate(queue, step).Seconds() * float64(step.Size.Processors) / milli
+}
+
 // remaining returns the expected time of the longest chain of a step and those after it.
 func (s *State) remaining(st *stage) time.Duration {
 	longest := time.Duration(0)
@@ -64,7 +69,7 @@
 func (s *State) learnWork(j *Job) {
 	work := 0.0
 	for i := range j.Steps {
-		work += s.estimate(j.Queue, &j.Steps[i]).Seconds() * float64(j.Steps[i].Size.Processors*j.Steps[i].Count) / milli
+		work += s.cost(j.Queue, &j.Steps[i]) * float64(j.Steps[i].Count)
 	}
 	l := s.learnedOf(j.Queue)
 	l.jobs++
--- a/core/sched/lend.go
+++ b/core/sched/lend.go
@@ -140,12 +140,7 @@
 			if st.job.inherited && unsettled[pool] {
 				continue // machines can't help yet
 			}
-			n := 0
-			for i := range st.tasks {
-				if st.tasks[i].waits() {
-					n++
-				}
-			}
+			n := st.waiting()
 			seconds := s.estimate(name, st.step).Seconds()
 			if st.step.Lasting || st.step.Fills {
 				l.lasting = l.lasting.plus(st.step.reserved().vector(), float64(n))
@@ -267,11 +262,18 @@
 
 // surplusMachine returns the machine of the pools that have more than they need that gets empty first.
 func (s *State) surplusMachine(now time.Time, pool string) string {
+	return s.emptiest(now, pool, func(m Machine) bool {
+		l := s.lendings[m.Pool]
+		return m.Pool != pool && l != nil && l.machines > l.need && now.Sub(l.surplus) >= surplusLeast && !s.config.Pools[m.Pool].Spare
+	})
+}
+
+// emptiest returns the machine that gets empty first of those that qualify and may be moved to a pool.
+func (s *State) emptiest(now time.Time, to string, qualifies func(Machine) bool) string {
 	best, least := "", time.Duration(math.MaxInt64)
 	for _, name := range sortedKeys(s.machines) {
 		m := s.machines[name]
-		l := s.lendings[m.Pool]
-		if m.Pool == pool || l == nil || l.machines <= l.need || now.Sub(l.surplus) < surplusLeast || s.config.Pools[m.Pool].Spare || !s.movable(name, m, pool) {
+		if !qualifies(m) || !s.movable(name, m, to) {
 			continue
 		}
 		if t := s.emptyIn(now, m); t < least {
@@ -360,16 +362,7 @@
 			continue
 		}
 		for l.machines > l.need {
-			best, least := "", time.Duration(math.MaxInt64)
-			for _, name := range sortedKeys(s.machines) {
-				m := s.machines[name]
-				if m.Pool != pool || !s.movable(name, m, spare) {
-					continue
-				}
-				if t := s.emptyIn(now, m); t < least {
-					best, least = name, t
-				}
-			}
+			best := s.emptiest(now, spare, func(m Machine) bool { return m.Pool == pool })
 			if best == "" {
 				break
 			}
--- a/core/sched/look.go
+++ b/core/sched/look.go
@@ -43,7 +43,7 @@
 			w.nextLook = now.Add(firstLookRetry) // an answer of an earlier life that came late
 			return
 		}
-		s.reborn(now, w, sight.Born)
+		s.reborn(w, sight.Born)
 	}
 	w.failures, w.looked, w.nextLook, w.lastLook = 0, true, now, sight.Sent
 	w.clock, w.clockAt = sight.Clock, now
@@ -61,7 +61,7 @@
 	for _, r := range w.sorted() {
 		if !listed[r.id] && r.settledBefore(sight.Sent) {
 			s.note("Missing", r.id, w.ID, "NotListed", r.number)
-			s.release(now, r)
+			s.release(r)
 		}
 	}
 }
@@ -86,18 +86,12 @@
 	if r.phase == starting || r.phase == doubtful {
 		r.phase, r.sure = running, now
 	}
-	if row.Percent > r.percent {
-		r.moved = now
-	}
 	r.percent, r.figure = row.Percent, row.Figure
 	if row.Saved != "" {
 		r.saved = row.Saved
 	}
 	if r.task != nil {
 		r.task.lastRun = max(r.task.lastRun, row.Run)
-		if r.percent >= wholePercent {
-			r.task.awayAt = time.Time{}
-		}
 	}
 }
 
@@ -109,7 +103,7 @@
 	if !known {
 		size = w.Capacity // nothing is started beside a run of unknown size
 	}
-	r := &run{id: row.Task, number: row.Run, phase: running, size: size, since: now, sure: now, moved: now, pace: wholePercent}
+	r := &run{id: row.Task, number: row.Run, phase: running, size: size, since: now, sure: now, pace: wholePercent}
 	t := s.find(row.Task)
 	if t != nil && !t.done && t.run == nil && !t.stage.job.state.Final() {
 		r.task, t.run = t, r
@@ -134,7 +128,7 @@
 		if e.Saved != "" {
 			r.saved = e.Saved
 		}
-		s.release(now, r)
+		s.release(r)
 	}
 	if j != nil {
 		w.ends = append(w.ends, unsaved{e.Number, j, j.version})
@@ -226,7 +220,7 @@
 	}
 	switch answer {
 	case Carried:
-		r.phase, r.sure, r.moved, r.began = running, now, now, now
+		r.phase, r.sure, r.began = running, now, now
 		return
 	case Unanswered:
 		r.phase, r.since = doubtful, now
@@ -245,25 +239,25 @@
 	}
 	s.note("Refused", r.id, w.ID, string(answer), r.number)
 	if r.task != nil {
-		s.dissolve(now, r.task.stage, r.number)
+		r.task.stage.dissolve(r.number)
 	}
-	s.release(now, r)
+	s.release(r)
 }
 
 // dissolve stops the members of a gang's run, because one of them won't come.
-func (s *State) dissolve(now time.Time, st *stage, number int64) {
+func (st *stage) dissolve(number int64) {
 	if !st.step.Gang {
 		return
 	}
 	for i := range st.tasks {
 		if r := st.tasks[i].run; r != nil && r.number == number && r.phase != stopping {
-			s.demandStop(now, r)
+			r.demandStop()
 		}
 	}
 }
 
 // demandStop makes the next plan send a stop.
-func (s *State) demandStop(_ time.Time, r *run) {
+func (r *run) demandStop() {
 	if r.phase == starting || r.phase == doubtful {
 		r.phase = doubtful
 		r.since = time.Time{} // no need to wait for a late answer
@@ -297,7 +291,7 @@
 	w.nextLook = now.Add(lookRetryMost)
 	for _, r := range w.sorted() {
 		s.note("Lost", r.id, w.ID, "WorkerIsGone", r.number)
-		s.release(now, r)
+		s.release(r)
 	}
 }
 
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -45,7 +45,7 @@
 	var all []*stage
 	for _, q := range s.queues {
 		q.stages = slices.DeleteFunc(q.stages, func(st *stage) bool {
-			if st.job.state.Final() || st.left == 0 || !slices.ContainsFunc(st.tasks, func(t task) bool { return t.waits() }) {
+			if st.job.state.Final() || st.left == 0 || st.waiting() == 0 {
 				st.queued = false
 				return true
 			}
@@ -107,7 +107,7 @@
 // work returns the processor-seconds that are left of an occurrence, and those of all of it.
 func (s *State) work(st *stage) (left, whole float64) {
 	for _, other := range st.occurrence.stages {
-		seconds := s.estimate(st.job.Queue, other.step).Seconds() * float64(other.step.Size.Processors) / milli
+		seconds := s.cost(st.job.Queue, other.step)
 		whole += seconds * float64(other.step.Count)
 		for i := range other.tasks {
 			if other.tasks[i].waits() {
@@ -317,7 +317,7 @@
 // start orders a run.
 func (s *State) start(now time.Time, t *task, w *worker, number int64, o *Orders) {
 	st := t.stage
-	r := &run{id: t.id(), task: t, number: number, phase: starting, size: st.step.reserved(), since: now, moved: now, saved: t.saved, pace: wholePercent}
+	r := &run{id: t.id(), task: t, number: number, phase: starting, size: st.step.reserved(), since: now, saved: t.saved, pace: wholePercent}
 	t.run, t.lastRun = r, number
 	s.occupy(w, r)
 	s.extend(now, w)
--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -59,9 +59,9 @@
 // planRuns stops what should not run on a worker and settles what is in doubt.
 func (s *State) planRuns(now time.Time, w *worker, o *Orders) {
 	for _, r := range w.sorted() {
-		if r.phase == running && s.unwanted(r, w) {
+		if why := r.whyUnwanted(); r.phase == running && why != "" {
 			r.phase = stopping
-			s.note("Stop", r.id, w.ID, s.whyUnwanted(r, w), r.number)
+			s.note("Stop", r.id, w.ID, why, r.number)
 		}
 		waits := r.phase == stopping || r.phase == doubtful && now.Sub(r.since) >= doubtPatience
 		if !waits || !r.stopSure.IsZero() || now.Sub(r.stopAt) < stopRepeatAfter {
@@ -72,10 +72,8 @@
 	}
 }
 
-// unwanted reports whether a run should be stopped.
-func (s *State) unwanted(r *run, w *worker) bool { return s.whyUnwanted(r, w) != "" }
-
-func (s *State) whyUnwanted(r *run, w *worker) string {
+// whyUnwanted returns why a run should be stopped, or nothing.
+func (r *run) whyUnwanted() string {
 	t := r.task
 	switch {
 	case t == nil || t.run != r:
@@ -84,7 +82,7 @@
 		return "AlreadyDone"
 	case t.stage.job.state.Final():
 		return "Job" + string(t.stage.job.state)
-	case w.Draining && (t.stage.step.Lasting || t.stage.step.Checkpoint):
+	case r.worker.Draining && (t.stage.step.Lasting || t.stage.step.Checkpoint):
 		return "WorkerDrains"
 	}
 	return ""
--- a/core/sched/report.go
+++ b/core/sched/report.go
@@ -49,11 +49,7 @@
 			if st.job.state.Final() {
 				continue
 			}
-			for i := range st.tasks {
-				if st.tasks[i].waits() {
-					of(s.config.Queues[name].Pool).Waiting++
-				}
-			}
+			of(s.config.Queues[name].Pool).Waiting += st.waiting()
 		}
 	}
 	var all []PoolReport
--- a/core/sched/roster.go
+++ b/core/sched/roster.go
@@ -58,8 +58,7 @@
 	for _, known := range r.Workers {
 		w := s.workers[known.ID]
 		if w == nil {
-			w = &worker{Worker: known, runs: make(map[TaskID]*run), faults: make(map[string]bool), lapse: s.barrier}
-			s.workers[known.ID] = w
+			w = s.addWorker(known)
 		}
 		w.rostered = true
 		w.nextLook = now
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -86,7 +86,6 @@
 	tickets    map[string]ticket
 	asked      time.Time
 	asking     bool
-	firstStart time.Time
 }
 
 type ticket struct {
@@ -104,13 +103,21 @@
 	saved   string
 	failed  []int64 // failed runs
 	avoid   []string
-	awayAt  time.Time // when a lasting task was last seen at work, or started
 }
 
 func (t *task) id() TaskID {
 	return TaskID{t.stage.job.ID, t.stage.occurrence.index, t.stage.index, t.index}
 }
 
+// waiting counts the step's tasks that should be placed.
+func (st *stage) waiting() int {
+	n := 0
+	for i := range st.tasks {
+		n += boolInt(st.tasks[i].waits())
+	}
+	return n
+}
+
 // waits reports whether the task should be placed.
 func (t *task) waits() bool { return !t.done && t.run == nil }
 
@@ -216,7 +223,7 @@
 		st := &stage{job: j, occurrence: o, index: i, step: &j.Steps[i], left: j.Steps[i].Count, blocked: len(j.Steps[i].After)}
 		st.tasks = make([]task, st.step.Count)
 		for n := range st.tasks {
-			st.tasks[n] = task{stage: st, index: n, awayAt: now}
+			st.tasks[n] = task{stage: st, index: n}
 		}
 		o.stages = append(o.stages, st)
 	}
--- a/io/node/desk.go
+++ b/io/node/desk.go
@@ -36,6 +36,9 @@
 	return v.Outcome == OutcomeNotRun && strings.HasPrefix(v.Reason, "Store")
 }
 
+// reasonKnown says that the id was accepted before.
+const reasonKnown = "Known"
+
 // acceptance is a job that is being accepted here; later requests with its id wait for the same answer.
 type acceptance struct {
 	done    chan struct{}
@@ -62,18 +65,17 @@
 		return v
 	}
 	// Without the owner, or with one that the store turns away, nobody knows the load; the store alone can accept.
-	v, _ := n.accept(ctx, j)
-	return v
+	return n.accept(ctx, j)
 }
 
-// accept stores a job under the condition that its id is new; it returns the job that stands there.
-func (n *Node) accept(ctx context.Context, j sched.Job) (Verdict, sched.Job) {
+// accept stores a job under the condition that its id is new.
+func (n *Node) accept(ctx context.Context, j sched.Job) Verdict {
 	if n.Store.Down(time.Now()) {
-		return Verdict{Outcome: OutcomeNotRun, RetryAfter: n.storeRetryAfter(), Reason: "StoreDown"}, j
+		return Verdict{Outcome: OutcomeNotRun, RetryAfter: n.storeRetryAfter(), Reason: "StoreDown"}
 	}
 	value, err := sched.EncodeJob(j)
 	if err != nil {
-		return Verdict{Outcome: OutcomeNotRun, Reason: "NotEncoded"}, j
+		return Verdict{Outcome: OutcomeNotRun, Reason: "NotEncoded"}
 	}
 	n.mu.Lock()
 	a := n.accepting[j.ID]
@@ -96,9 +98,9 @@
 	n.mu.Unlock()
 	select {
 	case <-a.done:
-		return a.verdict, j
+		return a.verdict
 	case <-ctx.Done():
-		return Verdict{Outcome: OutcomeUnknown, Reason: "CallerLeft"}, j
+		return Verdict{Outcome: OutcomeUnknown, Reason: "CallerLeft"}
 	}
 }
 
@@ -107,7 +109,7 @@
 	switch {
 	case s.Outcome == store.Applied:
 	case s.Outcome == store.Conflicted && len(s.Current) > 0:
-		v.Reason = "Known" // the id was accepted before; it remains one job
+		v.Reason = reasonKnown // the id was accepted before; it remains one job
 	case s.Sent:
 		v = Verdict{Outcome: OutcomeUnknown, Reason: "StoreUnanswered"}
 	default:
@@ -233,7 +235,7 @@
 func (c *control) submit(ctx context.Context, j sched.Job) Verdict {
 	v := c.query(ctx, func(now time.Time) Verdict {
 		if _, known := c.state.JobState(j.ID); known {
-			return Verdict{Outcome: OutcomeDone, Reason: "Known"}
+			return Verdict{Outcome: OutcomeDone, Reason: reasonKnown}
 		}
 		r := c.state.Admit(now, j)
 		if !r.Refused {
@@ -249,8 +251,8 @@
 	if v.Outcome != "" {
 		return v
 	}
-	v, _ = c.node.accept(ctx, j)
-	if v.Outcome == OutcomeDone && !strings.EqualFold(v.Reason, "Known") {
+	v = c.node.accept(ctx, j)
+	if v.Outcome == OutcomeDone && v.Reason != reasonKnown {
 		c.post(func(now time.Time) { c.state.AddJob(now, j, sched.Progress{}, false) })
 	}
 	return v
