--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -58,8 +58,9 @@
 	rostered bool // the roster that is durable names it
 	// rosterSaving says that a change of its roster record is being stored.
 	rosterSaving bool
-	rosterUnsure bool // a change of its roster record may have been stored
-	gone         bool // its life is over, though the list may still show it
+	rosterUnsure bool      // a change of its roster record may have been stored
+	scanAt       time.Time // when its runs are examined again; zero for the next plan
+	gone         bool      // its life is over, though the list may still show it
 }
 
 // unsaved is an end that must be durable before it is acknowledged.
@@ -147,6 +148,7 @@
 		}
 		if w.Draining != next.Draining || w.Pool != next.Pool || !w.listed {
 			s.changed = true
+			w.attend()
 		}
 		born := w.Born
 		w.gone = w.gone && !next.Born.After(born)
@@ -210,6 +212,9 @@
 	return w.listed && w.looked && w.rostered && !w.Draining && !w.cordoned && w.failures == 0 && !now.Before(w.pause)
 }
 
+// attend makes the next plan examine what runs on the worker.
+func (w *worker) attend() { w.scanAt = time.Time{} }
+
 func (w *worker) free() Size { return w.Capacity.Sub(w.used) }
 
 // until returns the end of a lease on the worker's clock.
--- a/core/sched/look.go
+++ b/core/sched/look.go
@@ -22,6 +22,7 @@
 		return
 	}
 	w.looking = false
+	w.attend()
 	switch sight.Answer {
 	case Carried:
 	case Outdated:
@@ -223,6 +224,7 @@
 		r.phase, r.sure, r.began = running, now, now
 		return
 	case Unanswered:
+		w.attend()
 		r.phase, r.since = doubtful, now
 		s.note("Doubtful", r.id, w.ID, "StartNotAnswered", r.number)
 		return
@@ -258,6 +260,7 @@
 
 // demandStop makes the next plan send a stop.
 func (r *run) demandStop() {
+	r.worker.attend()
 	if r.phase == starting || r.phase == doubtful {
 		r.phase = doubtful
 		r.since = time.Time{} // no need to wait for a late answer
--- a/core/sched/move.go
+++ b/core/sched/move.go
@@ -89,6 +89,7 @@
 			continue
 		}
 		r.phase = stopping
+		w.attend()
 		s.note("Stop", r.id, w.ID, "MachineMoves", r.number)
 	}
 }
--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -13,6 +13,7 @@
 	unsavedPatience = 250 * time.Millisecond // looks go on without an acknowledgement while ends can't be stored
 	machinesEvery   = 500 * time.Millisecond // the list of machines is read this often, a third of a move's time
 	placeEvery      = 250 * time.Millisecond // pauses and tickets end without an event
+	scanEvery       = 50 * time.Millisecond  // runs are examined this often without an event on their worker
 	fleetEvery      = 40 * time.Millisecond  // waves and moves are planned this often, a fortieth of a move's time
 	planEvery       = 250 * time.Millisecond // a plan is due this often without any event
 )
@@ -32,6 +33,10 @@
 		s.planLending(now, &o)
 	}
 	for _, w := range workers {
+		if now.Before(w.scanAt) {
+			continue
+		}
+		w.scanAt = now.Add(scanEvery)
 		s.planRuns(now, w, &o)
 		s.planPace(now, w, &o)
 	}
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -280,6 +280,9 @@
 		return
 	}
 	t.done = true
+	if t.run != nil {
+		t.run.worker.attend()
+	}
 	st := t.stage
 	st.left--
 	s.touch(st.job)
@@ -312,11 +315,25 @@
 	}
 	s.markStarted(j)
 	j.state, j.ended = state, now
+	for _, o := range j.runs {
+		o.attend()
+	}
 	s.notes = append(s.notes, Note{What: "JobEnded", Job: j.ID, Reason: string(state) + " after " + now.Sub(j.accepted).Round(time.Millisecond).String()})
 	s.touch(j)
 	s.changed = true
 }
 
+// attend makes the next plan examine the workers that run tasks of the occurrence.
+func (o *occurrence) attend() {
+	for _, st := range o.stages {
+		for i := range st.tasks {
+			if r := st.tasks[i].run; r != nil {
+				r.worker.attend()
+			}
+		}
+	}
+}
+
 // touch notes that a job's progress must be stored.
 func (s *State) touch(j *job) {
 	j.version++
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -407,6 +407,7 @@
 		taken[st]++
 		if taken[st] > max(1, st.step.MayMiss) && st.away(w) == 0 && !w.stopping(st) {
 			r.phase = stopping
+			w.attend()
 			s.note("Stop", r.id, w.ID, "UpkeepDue", r.number)
 		}
 	}
