Follow the slope of a burst, and give up only machines that were not needed for a while

A pool's surplus was timed from the first surplus machine, so the slope of a burst that ends counted as a surplus that had lasted. Besides, machines were ordered for the demand of now, and come 1.5 s later, when a burst that rises over 2.5 s asks for twice as much. Change: a pool gives up the machines beyond what it needed at any time of the last 2.2 s (0.4 s for another pool); an owner that has just begun knows of no surplus; while the short mean is above the long one the demand is planned for the time at which an ordered machine can work. The model's looks now renew when they arrive and return at an end, as workers do.

--- a/core/sched/lend.go
+++ b/core/sched/lend.go
@@ -16,7 +16,8 @@
 	arrival  vector // resource-seconds asked for each second, over arrivalWindow
 	steady   vector // the same over steadyWindow
 	at       time.Time
-	surplus  time.Time // since when the pool has had more machines than it needs
+	needs    []needAt  // over the last surplusTime, oldest first
+	known    time.Time // since when they are recorded
 	backlog  vector    // resource-seconds of waiting tasks
 	held     vector    // what runs now
 	lasting  vector    // part of held that lasts
@@ -25,6 +26,36 @@
 	need     int
 }
 
+// needAt is the number of machines that a pool needed at a time.
+type needAt struct {
+	at   time.Time
+	need int
+}
+
+// noteNeed records what a pool needs now.
+func (l *lending) noteNeed(now time.Time) {
+	if l.known.IsZero() {
+		l.known = now
+	}
+	l.needs = append(l.needs, needAt{now, l.need})
+	l.needs = slices.DeleteFunc(l.needs, func(n needAt) bool { return now.Sub(n.at) > surplusTime })
+}
+
+// mostNeeded returns the most machines that a pool needed over a time until now. A pool gives up only the machines
+// beyond it, so that the slope of a burst that ends does not count as a surplus that has lasted.
+func (l *lending) mostNeeded(now time.Time, past time.Duration) int {
+	if now.Sub(l.known) < past {
+		return math.MaxInt // an owner that has just begun knows of no surplus
+	}
+	most := l.need
+	for _, n := range l.needs {
+		if now.Sub(n.at) <= past {
+			most = max(most, n.need)
+		}
+	}
+	return most
+}
+
 // vector is an amount of each resource.
 type vector [3]float64
 
@@ -42,6 +73,7 @@
 const (
 	arrivalWindow = 400 * time.Millisecond  // demand is averaged over this time: a burst lasts some seconds
 	steadyWindow  = 1500 * time.Millisecond // long enough to even out chance, short against a burst
+	trendLag      = 500 * time.Millisecond  // until a change of the demand shows in the means and new workers were looked at
 	burstFactor   = 1.4                     // the short mean beside the long one that tells a burst's begin
 	drainBacklog  = 1200 * time.Millisecond // waiting work should be gone in this time, about the slack of an objective
 	lendMargin    = 1.15                    // machines are never packed perfectly
@@ -100,11 +132,7 @@
 	for _, pool := range sortedKeys(s.lendings) {
 		l := s.lendings[pool]
 		l.need = s.needed(pool, l)
-		if l.machines <= l.need {
-			l.surplus = time.Time{}
-		} else if l.surplus.IsZero() {
-			l.surplus = now
-		}
+		l.noteNeed(now)
 	}
 	for _, name := range sortedKeys(s.moves) {
 		s.carryMove(now, name, s.moves[name])
@@ -194,7 +222,7 @@
 		if unit[i] <= 0 {
 			continue
 		}
-		batch := l.expected(i) + l.backlog[i]/drainBacklog.Seconds()
+		batch := l.expected(i, s.settings.MoveTime+trendLag) + l.backlog[i]/drainBacklog.Seconds()
 		if running := l.held[i] - l.lasting[i]; l.backlog[i] > 0 {
 			batch = max(batch, running)
 		}
@@ -203,11 +231,13 @@
 	return max(int(math.Ceil(machines)), l.distinct+1, 1)
 }
 
-// expected returns the arrival of a resource to plan for: what came just now when a burst begins,
-// else the lower of the short and the long mean, so that chance does not hold machines.
-func (l *lending) expected(i int) float64 {
+// expected returns the arrival of a resource to plan for: what will come after lead when a burst begins, because a
+// machine that is ordered now comes then and bursts rise over seconds; else the lower of the short and the long
+// mean, so that chance does not hold machines.
+func (l *lending) expected(i int, lead time.Duration) float64 {
 	if l.arrival[i] > burstFactor*l.steady[i] {
-		return l.arrival[i]
+		slope := (l.arrival[i] - l.steady[i]) / (steadyWindow - arrivalWindow).Seconds()
+		return l.arrival[i] + slope*lead.Seconds()
 	}
 	return min(l.steady[i], l.arrival[i]*burstFactor)
 }
@@ -293,7 +323,7 @@
 		return false
 	}
 	l := s.lendings[c.Pool]
-	return c.spare || l != nil && l.machines > l.need && now.Sub(l.surplus) >= surplusLeast
+	return c.spare || l != nil && l.machines > l.mostNeeded(now, surplusLeast)
 }
 
 // emptyIn returns when a machine's batch tasks are expected to have ended.
@@ -376,7 +406,7 @@
 	}
 	for _, c := range all {
 		l := s.lendings[c.Pool]
-		if c.spare || l == nil || l.machines <= l.need || l.surplus.IsZero() || now.Sub(l.surplus) < surplusTime {
+		if c.spare || l == nil || l.machines <= l.mostNeeded(now, surplusTime) {
 			continue
 		}
 		if s.moves[c.Name] == nil && !s.refusedMoves[moveTarget{c.Name, spare}] {
--- a/core/sched/world_test.go
+++ b/core/sched/world_test.go
@@ -41,6 +41,7 @@
 	now     time.Time
 	random  *rand.Rand
 	workers []*simWorker
+	byID    map[string]*simWorker
 	listed  func(*simWorker) bool
 	pending []event
 	jobs    map[string]Job
@@ -94,7 +95,7 @@
 func newWorld(t *testing.T, seed uint64, pools map[string]int) *simWorld {
 	w := &simWorld{
 		t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, simRate)),
-		jobs: make(map[string]Job), stored: make(map[string]Progress), waves: make(map[int64]WaveStatus), roster: make(map[string]Worker),
+		jobs: make(map[string]Job), stored: make(map[string]Progress), waves: make(map[int64]WaveStatus), roster: make(map[string]Worker), byID: make(map[string]*simWorker),
 		done: make(map[TaskID]time.Time), starts: make(map[TaskID]int), away: make(map[string]time.Time), pools: make(map[string]string), fences: make(map[string]uint64), kept: make(map[string]int64), caps: make(map[int64]int), upkeep: make(map[string]time.Time),
 		config: Config{Version: 1, Queues: make(map[string]Queue), Pools: map[string]Pool{"spare": {Name: "spare", Spare: true}}},
 	}
@@ -134,6 +135,7 @@
 		runs: make(map[TaskID]*simRun), barred: make(map[TaskID]int64), log: w.log,
 	}
 	w.workers = append(w.workers, x)
+	w.byID[x.ID] = x
 	return x
 }
 
@@ -255,15 +257,7 @@
 		}, func(a Answer) { o.state.PaceAnswered(w.now, p, a) })
 	}
 	for _, l := range orders.Looks {
-		sent := w.now
-		w.after(simDelay+l.Wait/4, func() {
-			x := w.find(l.Worker)
-			if x == nil || x.cut || x.down || !o.reaches(x) {
-				w.after(simTimeout, func() { o.state.Looked(w.now, l.Worker, Sight{Answer: Unanswered, Sent: sent}) })
-				return
-			}
-			o.state.Looked(w.now, l.Worker, w.look(o, x, l, sent))
-		})
+		w.awaitLook(o, l, w.now)
 	}
 	for _, m := range orders.Machines {
 		w.after(simDelay, func() { o.state.MachineAnswered(w.now, m, w.machine(o, m)) })
@@ -304,6 +298,27 @@
 	}
 }
 
+// awaitLook plays one look, which renews at once and waits for an end.
+func (w *simWorld) awaitLook(o *simOwner, l Look, sent time.Time) {
+	w.after(simDelay, func() {
+		x := w.find(l.Worker)
+		switch {
+		case x == nil || x.cut || x.down || !o.reaches(x):
+			w.after(simTimeout, func() { o.state.Looked(w.now, l.Worker, Sight{Answer: Unanswered, Sent: sent}) })
+			return
+		case o.fence >= x.fence && l.Until > 0:
+			x.fence = o.fence
+			x.extend(w.now, l.Until)
+			l.Until = 0
+		}
+		if x.number <= l.Acknowledged && w.now.Sub(sent) < l.Wait {
+			w.awaitLook(o, l, sent)
+			return
+		}
+		o.state.Looked(w.now, l.Worker, w.look(o, x, l, sent))
+	})
+}
+
 // order plays one order: lost when the worker is out of reach, late when the worker is said to be.
 func (w *simWorld) order(o *simOwner, id string, do func(*simWorker) Answer, answer func(Answer)) {
 	w.after(simDelay, func() {
@@ -325,12 +340,7 @@
 }
 
 func (w *simWorld) find(id string) *simWorker {
-	for _, x := range w.workers {
-		if x.ID == id {
-			return x
-		}
-	}
-	return nil
+	return w.byID[id]
 }
 
 func (x *simWorker) clock(now time.Time) time.Duration { return now.Sub(x.Born) }
@@ -418,9 +428,11 @@
 
 // work ends the runs whose time or lease is over.
 func (w *simWorld) work(x *simWorker) {
-	ids := make([]TaskID, 0, len(x.runs))
-	for id := range x.runs {
-		ids = append(ids, id)
+	var ids []TaskID
+	for id, r := range x.runs {
+		if x.down || w.now.After(x.until) || !r.ends.IsZero() && w.now.After(r.ends) {
+			ids = append(ids, id)
+		}
 	}
 	slices.SortFunc(ids, TaskID.compare)
 	for _, id := range ids {
@@ -446,13 +458,17 @@
 		if until, away := w.away[name]; away && w.now.Before(until) {
 			m.Up, m.Away = false, true
 		}
-		for _, x := range w.workers {
-			if machineOf(x) == name && !x.down {
-				m.Worker = x.ID
-			}
-		}
 		list = append(list, m)
 	}
+	at := make(map[string]string)
+	for _, x := range w.workers {
+		if !x.down {
+			at[machineOf(x)] = x.ID
+		}
+	}
+	for i := range list {
+		list[i].Worker = at[list[i].Name]
+	}
 	return list
 }
 
@@ -519,7 +535,7 @@
 		w.breaks("capacity of %s is exceeded by %s", x.ID, s.Task)
 	}
 	for _, y := range w.workers {
-		if y != x && !y.down && y.runs[s.Task] != nil {
+		if y != x && !y.down && len(y.runs) > 0 && y.runs[s.Task] != nil {
 			w.breaks("%s runs on %s and on %s", s.Task, y.ID, x.ID)
 		}
 	}
@@ -544,6 +560,9 @@
 			other := TaskID{id.Job, id.Occurrence, id.Step, i}
 			at := false
 			for _, y := range w.workers {
+				if len(y.runs) == 0 {
+					continue
+				}
 				if r := y.runs[other]; r != nil && !y.down && y != x && r.row.Percent == wholePercent {
 					at = true
 				}
