--- a/core/sched/move.go
+++ b/core/sched/move.go
@@ -47,8 +47,17 @@
 			delete(s.moves, name)
 		}
 	case now.Sub(mv.began) > moveDrain || s.wantsBack(mv):
-		delete(s.moves, name)
-		s.uncordon(name)
+		s.endMove(name, mv)
+	}
+}
+
+// endMove leaves a machine where it is.
+func (s *State) endMove(name string, mv *move) {
+	delete(s.moves, name)
+	s.uncordon(name)
+	s.note("MoveEnded", TaskID{}, s.machines[name].Worker, name+" stays in "+mv.from, 0)
+	if l := s.lendings[mv.from]; l != nil && !s.config.Pools[mv.from].Spare {
+		l.machines++ // so that no more machines come back than the pool lacks
 	}
 }
 
