--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -142,6 +142,7 @@
 		if w == nil {
 			w = s.addWorker(next)
 			s.changed = true
+			s.note("WorkerCame", TaskID{}, next.ID, next.Pool+" began "+now.Sub(next.Born).Round(time.Millisecond).String()+" ago", 0)
 		} else if !w.Born.Equal(next.Born) && next.Born.After(w.Born) {
 			// Another life at the same id: nothing of the earlier one is left, and a look must show what is.
 			w.looked, w.nextLook = false, now
--- a/core/sched/look.go
+++ b/core/sched/look.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -39,6 +40,9 @@
 	if w.failures > 0 || !w.looked {
 		s.changed = true
 	}
+	if !w.looked {
+		s.note("WorkerSeen", TaskID{}, w.ID, strconv.Itoa(len(sight.Running))+" runs there", 0)
+	}
 	if !sight.Born.IsZero() && !sight.Born.Equal(w.Born) {
 		if sight.Born.Before(w.Born) {
 			w.nextLook = now.Add(firstLookRetry) // an answer of an earlier life that came late
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -30,11 +30,13 @@
 	listing   bool              // the list of machines is being read
 	relist    bool              // and must be read once more
 	ready     atomic.Bool       // all that is durable was read
+	plans     int               // since the last report
+	planning  time.Duration     // spent on them
+	reported  time.Time         // when the load was logged last
 }
 
 const (
 	eventBacklog    = 4096
-	workersEvery    = 400 * time.Millisecond // well inside the time to notice that a worker drains (2 s)
 	intakePause     = 250 * time.Millisecond // jobs that an entry stored without the owner are rare
 	forgetEvery     = 10 * time.Second
 	reportEvery     = time.Second
@@ -68,7 +70,8 @@
 // run loads what is durable and carries out plans until the ownership ends.
 func (c *control) run() {
 	n := c.node
-	intake, err := c.load()
+	roll := newRoll(n.Dialect, func(r store.Record, err error) { n.log("RecordSkipped").Str("Key", r.Key).Err(err).Send() })
+	intake, err := c.load(roll)
 	if err != nil {
 		c.quit(err)
 		return
@@ -84,7 +87,7 @@
 	}
 	n.mu.Unlock()
 	c.ready.Store(true)
-	c.group.Go(func() error { c.pollWorkers(); return nil })
+	c.group.Go(func() error { c.followWorkers(roll); return nil })
 	c.group.Go(func() error { c.followIntake(intake); return nil })
 	c.loop()
 	c.flush()
@@ -94,7 +97,8 @@
 func (c *control) loop() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	forgot, reported := c.node.Now(), c.node.Now()
+	forgot := c.node.Now()
+	c.reported = forgot
 	gap := planGapLeast
 	for c.ctx.Err() == nil {
 		select {
@@ -108,6 +112,8 @@
 		c.drain()
 		now := c.node.Now()
 		orders := c.state.Plan(now)
+		c.plans++
+		c.planning += c.node.Now().Sub(now)
 		if c.state.Deposed() {
 			c.quit(errOutdated)
 			return
@@ -115,8 +121,7 @@
 		c.dispatch(orders)
 		gap = min(planGapMost, max(planGapLeast, planGapFactor*c.node.Now().Sub(now)))
 		timer.Reset(max(0, orders.Wake.Sub(now)))
-		if now.Sub(reported) > reportEvery {
-			reported = now
+		if now.Sub(c.reported) > reportEvery {
 			c.report(now)
 		}
 		if now.Sub(forgot) > forgetEvery {
@@ -152,7 +157,7 @@
 }
 
 // load reads all that is durable; the returned revision is where the intake goes on.
-func (c *control) load() (uint64, error) {
+func (c *control) load(roll *roll) (uint64, error) {
 	var jobs, progress, workers, waves, roster store.Batch
 	read := func(prefix string, into *store.Batch) error {
 		for {
@@ -197,7 +202,8 @@
 		c.revisions[r.Key] = r.Revision
 		c.state.WaveWas(s)
 	}
-	c.takeWorkers(now, workers)
+	workers.Full = true
+	c.state.SetWorkers(now, roll.take(workers))
 	for _, r := range roster.Records {
 		var known sched.Worker
 		if err := json.Unmarshal(r.Value, &known); err != nil {
@@ -253,30 +259,6 @@
 	}
 }
 
-// pollWorkers keeps the list of workers.
-func (c *control) pollWorkers() {
-	for c.ctx.Err() == nil {
-		pause(c.ctx, workersEvery)
-		batch, err := c.node.Store.Range(c.ctx, c.node.Dialect.WorkersPrefix(), store.Safety)
-		if err == nil {
-			c.post(func(now time.Time) { c.takeWorkers(now, batch) })
-		}
-	}
-}
-
-func (c *control) takeWorkers(now time.Time, batch store.Batch) {
-	workers := make([]sched.Worker, 0, len(batch.Records))
-	for _, r := range batch.Records {
-		w, err := c.node.Dialect.Worker(r)
-		if err != nil {
-			c.node.log("RecordSkipped").Str("Key", r.Key).Err(err).Send()
-			continue
-		}
-		workers = append(workers, w)
-	}
-	c.state.SetWorkers(now, workers)
-}
-
 // forget deletes the records of jobs that ended long ago.
 func (c *control) forget(now time.Time) {
 	for _, id := range c.state.Forget(now) {
@@ -286,8 +268,10 @@
 	}
 }
 
-// report logs the load of each pool.
+// report logs the load of the owner and of each pool.
 func (c *control) report(now time.Time) {
+	c.node.log("Plans").Int("Count", c.plans).Dur("Took", c.planning).Dur("Past", now.Sub(c.reported)).Int("Backlog", len(c.events)).Uint64("Fence", c.fence).Send()
+	c.plans, c.planning, c.reported = 0, 0, now
 	for _, p := range c.state.Report(now) {
 		c.node.log("Pool").Str("Pool", p.Pool).Int("Workers", p.Workers).Int("Usable", p.Usable).
 			Int("Unknown", p.Unknown).Int("Cordoned", p.Cordoned).Int("Silent", p.Silent).
--- /dev/null
+++ b/io/node/roll_test.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"daisysaddle/core/sched"
+	"daisysaddle/io/store"
+)
+
+// TestNewWorkersCountAtOnce: machines that follow a burst were known up to 0.9 s after they came, when the list of
+// all workers was read again (lc-palermo-grown trouble-2, 11.8 to 13.2 s).
+func TestNewWorkersCountAtOnce(t *testing.T) {
+	c, _ := newCluster(t, 1, 0)
+	n := c.nodes[0]
+	c.await("the workers are known", func() bool { return c.knows(n, "w3") })
+	for _, id := range []string{"late1", "late2", "late3"} {
+		time.Sleep(130 * time.Millisecond) // at different times of a poll
+		c.put(fakeWorkers+id, sched.Worker{ID: id, Pool: "p", Born: c.fleet.born})
+		put := time.Now()
+		c.await(id+" is known", func() bool { return c.knows(n, id) })
+		must.Less(t, 250*time.Millisecond, time.Since(put))
+	}
+}
+
+// knows reports whether the owner's list holds a worker.
+func (c *cluster) knows(n *Node, id string) bool {
+	o := n.owning()
+	if o == nil {
+		return false
+	}
+	known := make(chan bool, 1)
+	o.post(func(time.Time) {
+		_, is := o.state.Worker(id)
+		known <- is
+	})
+	return <-known
+}
+
+func TestRoll(t *testing.T) {
+	record := func(id string, revision uint64) store.Record {
+		value, err := json.Marshal(sched.Worker{ID: id})
+		must.NoError(t, err)
+		return store.Record{Key: fakeWorkers + id, Value: value, Revision: revision}
+	}
+	foreign := store.Record{Key: fakeWorkers + "x", Value: []byte("nonsense"), Revision: 3}
+	for _, c := range []struct {
+		name    string
+		batches []store.Batch
+		want    []string
+		skipped int
+	}{
+		{"all", []store.Batch{{Full: true, Records: []store.Record{record("a", 1), record("b", 2)}}}, []string{"a", "b"}, 0},
+		{"one came", []store.Batch{{Full: true, Records: []store.Record{record("a", 1)}}, {Records: []store.Record{record("b", 2)}}}, []string{"a", "b"}, 0},
+		{"one left", []store.Batch{{Full: true, Records: []store.Record{record("a", 1)}}, {Deleted: []string{fakeWorkers + "a"}}}, nil, 0},
+		{"one left unseen", []store.Batch{{Full: true, Records: []store.Record{record("a", 1)}}, {Full: true}}, nil, 0},
+		{"foreign, told once", []store.Batch{{Full: true, Records: []store.Record{record("a", 1), foreign}}, {Full: true, Records: []store.Record{record("a", 1), foreign}}}, []string{"a"}, 1},
+		{"overwritten", []store.Batch{{Full: true, Records: []store.Record{record("x", 1)}}, {Records: []store.Record{foreign}}}, nil, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			skipped := 0
+			l := newRoll(fakeDialect{}, func(store.Record, error) { skipped++ })
+			var list []sched.Worker
+			for _, b := range c.batches {
+				list = l.take(b)
+			}
+			var ids []string
+			for _, w := range list {
+				ids = append(ids, w.ID)
+			}
+			must.SliceContainsAll(t, ids, c.want)
+			must.Eq(t, len(c.want), len(ids))
+			must.Eq(t, c.skipped, skipped)
+		})
+	}
+}
