Pass the configuration on between entries

Change: while its own reads fail, an entry asks the entries that it is linked to; an older configuration is never taken.

--- a/io/node/desk.go
+++ b/io/node/desk.go
@@ -297,4 +297,7 @@
 	})
 }
 
-var errNoOwner = errors.New("the owner is not known or does not answer")
+var (
+	errNoOwner  = errors.New("the owner is not known or does not answer")
+	errNoConfig = errors.New("the entry has told no configuration")
+)
--- a/io/node/fake_test.go
+++ b/io/node/fake_test.go
@@ -201,6 +201,13 @@
 	return f.Platform.Range(ctx, prefix)
 }
 
+func (f *faulty) WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Batch, error) {
+	if err := f.refuses(); err != nil {
+		return store.Batch{}, err
+	}
+	return f.Platform.WatchPrefix(ctx, prefix, after, wait)
+}
+
 func newCluster(t *testing.T, size int, first int) (*cluster, []*faulty) {
 	t.Helper()
 	now := SteadyClock()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -203,6 +203,9 @@
 			up = false
 			n.log("StoreLost").Err(err).Send()
 		}
+		if err != nil {
+			n.askConfig(ctx)
+		}
 		pause(ctx, retryPause)
 	}
 }
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -170,3 +170,20 @@
 	must.Nil(t, c.nodes[0].owning())
 	must.NotNil(t, c.nodes[1].owning())
 }
+
+// TestConfigPassesBetweenEntries: the platform turns an entry away while it serves the others and the operator.
+func TestConfigPassesBetweenEntries(t *testing.T) {
+	for _, away := range []int{0, 1} { // the owner, and an entry that is linked to it
+		c, backends := newCluster(t, 2, 0)
+		c.await("both are linked", func() bool { return c.nodes[1].links() != nil && len(c.nodes[1].links().Peers()) == 1 })
+		backends[away].setDown(true)
+		next := *c.nodes[0].Config()
+		next.Version = 2
+		next.Routes = []Route{{Host: "h", Prefix: "/new/", Queue: "q"}}
+		c.put(fakeOperator+"config", next)
+		put := time.Now()
+		c.await("the configuration is in force", func() bool { return c.nodes[away].Config().Version == 2 })
+		must.Less(t, 2*time.Second, time.Since(put))
+		must.Eq(t, next.Routes, c.nodes[away].Config().Routes)
+	}
+}
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -64,19 +64,24 @@
 	}
 }
 
-// peerClient carries calls to the owner over the link.
+// links returns the links to other entries, or nil before there are any.
+func (n *Node) links() *peer.Mesh {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.mesh
+}
+
+// peerClient carries calls to other entries over the links; the host of a request is an incarnation.
 func (n *Node) peerClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: peerConnections, IdleConnTimeout: ownerIdle, DisableCompression: true,
-		DialContext: func(context.Context, string, string) (net.Conn, error) {
-			o := n.owner.Load()
-			n.mu.Lock()
-			mesh := n.mesh
-			n.mu.Unlock()
-			if o == nil || mesh == nil {
+		DialContext: func(_ context.Context, _, address string) (net.Conn, error) {
+			incarnation, _, err := net.SplitHostPort(address)
+			mesh := n.links()
+			if err != nil || mesh == nil {
 				return nil, errNoOwner
 			}
-			return mesh.Open(fleet.Sender{Name: o.Name, Incarnation: o.Incarnation})
+			return mesh.Open(fleet.Sender{Name: incarnation, Incarnation: incarnation})
 		},
 	}}
 }
@@ -140,6 +145,7 @@
 			writeVerdict(w, status, v)
 		})
 	}
+	mux.HandleFunc("GET "+configPath, n.tellConfig)
 	handle("POST /jobs/{id}", func(r *http.Request, c *control) Verdict {
 		var j sched.Job
 		if err := json.NewDecoder(io.LimitReader(r.Body, maxPeerBody)).Decode(&j); err != nil || j.Check() != nil {
