--- a/core/sched/lend.go
+++ b/core/sched/lend.go
@@ -18,6 +18,8 @@
 	at       time.Time
 	needs    []needAt  // over the last surplusTime, oldest first
 	known    time.Time // since when they are recorded
+	lendable int       // machines beyond these may go to another pool
+	idle     int       // and beyond these to the spare pool
 	backlog  vector    // resource-seconds of waiting tasks
 	held     vector    // what runs now
 	lasting  vector    // part of held that lasts
@@ -133,18 +135,31 @@
 		l := s.lendings[pool]
 		l.need = s.needed(pool, l)
 		l.noteNeed(now)
+		l.lendable, l.idle = l.mostNeeded(now, surplusLeast), l.mostNeeded(now, surplusTime)
 	}
 	for _, name := range sortedKeys(s.moves) {
 		s.carryMove(now, name, s.moves[name])
 	}
-	all := s.candidates(now)
-	s.growPools(now, all)
-	s.shrinkPools(now, all)
+	if s.unbalanced() {
+		all := s.candidates(now)
+		s.growPools(now, all)
+		s.shrinkPools(now, all)
+	}
 	for _, name := range sortedKeys(s.moves) {
 		s.orderMove(now, name, s.moves[name], o)
 	}
 }
 
+// unbalanced reports whether some pool lacks machines or has had more than it needs for long enough.
+func (s *State) unbalanced() bool {
+	for _, l := range s.lendings {
+		if l.machines < l.need || l.machines > l.idle {
+			return true
+		}
+	}
+	return false
+}
+
 // measureDemand sums what runs and waits in each pool.
 func (s *State) measureDemand(now time.Time) {
 	for _, l := range s.lendings {
@@ -307,7 +322,7 @@
 		if pool == "" {
 			return
 		}
-		at := slices.IndexFunc(all, func(c candidate) bool { return s.mayLend(now, c, pool) })
+		at := slices.IndexFunc(all, func(c candidate) bool { return s.mayLend(c, pool) })
 		if at < 0 {
 			full[pool] = true
 			continue
@@ -318,12 +333,12 @@
 }
 
 // mayLend reports whether a machine may go to a pool now: a spare one, or one that its pool does not need.
-func (s *State) mayLend(now time.Time, c candidate, to string) bool {
+func (s *State) mayLend(c candidate, to string) bool {
 	if c.Pool == to || s.moves[c.Name] != nil || s.refusedMoves[moveTarget{c.Name, to}] {
 		return false
 	}
 	l := s.lendings[c.Pool]
-	return c.spare || l != nil && l.machines > l.mostNeeded(now, surplusLeast)
+	return c.spare || l != nil && l.machines > l.lendable
 }
 
 // emptyIn returns when a machine's batch tasks are expected to have ended.
@@ -406,7 +421,7 @@
 	}
 	for _, c := range all {
 		l := s.lendings[c.Pool]
-		if c.spare || l == nil || l.machines <= l.mostNeeded(now, surplusTime) {
+		if c.spare || l == nil || l.machines <= l.idle {
 			continue
 		}
 		if s.moves[c.Name] == nil && !s.refusedMoves[moveTarget{c.Name, spare}] {
