--- a/core/sched/lend.go
+++ b/core/sched/lend.go
@@ -13,19 +13,19 @@
 
 // lending is what is known of one pool's demand.
 type lending struct {
-	arrival  vector // resource-seconds asked for each second, over arrivalWindow
-	steady   vector // the same over steadyWindow
-	at       time.Time
-	needs    []needAt  // over the last surplusTime, oldest first
-	known    time.Time // since when they are recorded
-	lendable int       // machines beyond these may go to another pool
-	idle     int       // and beyond these to the spare pool
-	backlog  vector    // resource-seconds of waiting tasks
-	held     vector    // what runs now
-	lasting  vector    // part of held that lasts
-	distinct int       // workers that its lasting steps need
-	machines int       // that serve it, or will soon
-	need     int
+	arrival   vector // resource-seconds asked for each second, over arrivalWindow
+	steady    vector // the same over steadyWindow
+	at        time.Time
+	needs     []needAt  // over the last surplusTime, oldest first
+	known     time.Time // since when they are recorded
+	keepShort int       // machines beyond these may go to another pool
+	keepLong  int       // and beyond these to the spare pool
+	backlog   vector    // resource-seconds of waiting tasks
+	held      vector    // what runs now
+	lasting   vector    // part of held that lasts
+	distinct  int       // workers that its lasting steps need
+	machines  int       // that serve it, or will soon
+	need      int
 }
 
 // needAt is the number of machines that a pool needed at a time.
@@ -135,7 +135,7 @@
 		l := s.lendings[pool]
 		l.need = s.needed(pool, l)
 		l.noteNeed(now)
-		l.lendable, l.idle = l.mostNeeded(now, surplusLeast), l.mostNeeded(now, surplusTime)
+		l.keepShort, l.keepLong = l.mostNeeded(now, surplusLeast), l.mostNeeded(now, surplusTime)
 	}
 	for _, name := range sortedKeys(s.moves) {
 		s.carryMove(now, name, s.moves[name])
@@ -153,7 +153,7 @@
 // unbalanced reports whether some pool lacks machines or has had more than it needs for long enough.
 func (s *State) unbalanced() bool {
 	for _, l := range s.lendings {
-		if l.machines < l.need || l.machines > l.idle {
+		if l.machines < l.need || l.machines > l.keepLong {
 			return true
 		}
 	}
@@ -259,25 +259,14 @@
 
 // unitOf returns the size of a pool's machines, or of any machine when it has none.
 func (s *State) unitOf(pool string) Size {
-	var other Size
-	first := ""
-	for name, m := range s.machines {
-		if m.Pool != pool {
-			continue
-		}
-		if first == "" || name < first {
-			first = name
-		}
-	}
-	if first != "" {
-		return s.machines[first].Capacity
-	}
-	for name, m := range s.machines {
-		if first == "" || name < first {
-			first, other = name, m.Capacity
+	var best Machine
+	for _, m := range s.machines {
+		here, bestHere := boolInt(m.Pool == pool), boolInt(best.Pool == pool)
+		if best.Name == "" || here > bestHere || here == bestHere && m.Name < best.Name {
+			best = m
 		}
 	}
-	return other
+	return best.Capacity
 }
 
 // candidate is a machine that may be moved, with the time until its batch tasks are expected to have ended.
@@ -338,7 +327,7 @@
 		return false
 	}
 	l := s.lendings[c.Pool]
-	return c.spare || l != nil && l.machines > l.lendable
+	return c.spare || l != nil && l.machines > l.keepShort
 }
 
 // emptyIn returns when a machine's batch tasks are expected to have ended.
@@ -421,7 +410,7 @@
 	}
 	for _, c := range all {
 		l := s.lendings[c.Pool]
-		if c.spare || l == nil || l.machines <= l.idle {
+		if c.spare || l == nil || l.machines <= l.keepLong {
 			continue
 		}
 		if s.moves[c.Name] == nil && !s.refusedMoves[moveTarget{c.Name, spare}] {
--- a/io/node/roll.go
+++ b/io/node/roll.go
@@ -34,6 +34,7 @@
 	}
 	for _, key := range b.Deleted {
 		delete(l.workers, key)
+		delete(l.foreign, key)
 	}
 	for _, r := range b.Records {
 		w, err := l.dialect.Worker(r)
