--- a/io/node/config.go
+++ b/io/node/config.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 )
@@ -21,33 +20,15 @@
 		return
 	}
 	for _, p := range mesh.Peers() {
-		c, err := n.configOf(ctx, p.Sender.Incarnation)
-		if err != nil {
-			continue // another entry may know
+		var c Config
+		if err := n.askPeer(ctx, p.Sender.Incarnation, http.MethodGet, configPath, configTimeout, nil, &c); err != nil {
+			n.often("ConfigNotTold").Str("Peer", p.Sender.Name).Err(err).Send() // another entry may know
+			continue
 		}
-		n.takeConfig(c)
+		n.takeConfig(&c)
 	}
 }
 
-func (n *Node) configOf(ctx context.Context, incarnation string) (*Config, error) {
-	ctx, cancel := context.WithTimeout(ctx, configTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+incarnation+configPath, nil)
-	if err != nil {
-		return nil, errNoConfig
-	}
-	response, err := n.peers.Do(request)
-	if err != nil {
-		return nil, errNoConfig
-	}
-	defer response.Body.Close()
-	var c Config
-	if response.StatusCode != http.StatusOK || json.NewDecoder(io.LimitReader(response.Body, maxPeerBody)).Decode(&c) != nil {
-		return nil, errNoConfig
-	}
-	return &c, nil
-}
-
 // tellConfig answers with the configuration in force.
 func (n *Node) tellConfig(w http.ResponseWriter, _ *http.Request) {
 	c := n.config.Load()
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -208,7 +208,6 @@
 		c.revisions[r.Key] = r.Revision
 		c.state.WaveWas(s)
 	}
-	workers.Full = true
 	c.state.SetWorkers(now, roll.take(workers))
 	for _, r := range roster.Records {
 		var known sched.Worker
--- a/io/node/desk.go
+++ b/io/node/desk.go
@@ -297,7 +297,4 @@
 	})
 }
 
-var (
-	errNoOwner  = errors.New("the owner is not known or does not answer")
-	errNoConfig = errors.New("the entry has told no configuration")
-)
+var errNoOwner = errors.New("the owner is not known or does not answer")
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -98,33 +98,38 @@
 	if o == nil || o.Incarnation == n.incarnation {
 		return Verdict{}, errNoOwner
 	}
-	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	var v Verdict
+	if err := n.askPeer(ctx, o.Incarnation, method, path, ownerTimeout, body, &v); err != nil {
+		return Verdict{}, err
+	}
+	return v, nil
+}
+
+// askPeer sends a request over the link to an entry and decodes its answer; an error says that no answer counts.
+func (n *Node) askPeer(ctx context.Context, incarnation, method, path string, timeout time.Duration, body, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var payload io.Reader
 	if body != nil {
 		encoded, err := json.Marshal(body)
 		if err != nil {
-			return Verdict{}, errors.Wrap(err, "encode a request to the owner")
+			return errors.Wrap(err, "encode a request to an entry")
 		}
 		payload = bytes.NewReader(encoded)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+o.Incarnation+path, payload)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+incarnation+path, payload)
 	if err != nil {
-		return Verdict{}, errors.Wrap(err, "make a request to the owner")
+		return errors.Wrap(err, "make a request to an entry")
 	}
 	response, err := n.peers.Do(request)
 	if err != nil {
-		return Verdict{}, errors.Mark(errors.Wrap(err, "ask the owner"), errNoOwner)
+		return errors.Wrap(err, "ask an entry")
 	}
 	defer response.Body.Close()
-	var v Verdict
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxPeerBody)).Decode(&v); err != nil {
-		return Verdict{}, errors.Mark(errors.Wrap(err, "decode the owner's answer"), errNoOwner)
-	}
 	if response.StatusCode != http.StatusOK {
-		return Verdict{}, errors.Wrapf(errNoOwner, "status %d", response.StatusCode)
+		return errors.Newf("an entry answered with status %d", response.StatusCode)
 	}
-	return v, nil
+	return errors.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxPeerBody)).Decode(into), "decode an entry's answer")
 }
 
 // peerHandler answers other entries while this one owns the workers.
--- a/io/node/roll.go
+++ b/io/node/roll.go
@@ -60,7 +60,6 @@
 			pause(c.ctx, retryPause)
 			continue
 		}
-		batch.Full = true
 		read := c.node.Now()
 		for c.ctx.Err() == nil {
 			if len(batch.Records)+len(batch.Deleted) > 0 || batch.Full {
