Let other entries carry the owner's orders to workers

On the thin links of the small twins the owner's link was full as well: a start carries its spec of 1.2 KB, and the owner's watch brought it each job that it had just stored itself. Ruled out: the planner (0.2 s of processor in 34 s, trial), the store's link, the workers' own links. Change: each zone's largest entries carry the orders to its workers (core/carry decides, without a network). Orders and answers travel in batches as protobuf frames on the entries' links. A carrier sends an order only while a permit holds: the owner returns the newest reading of the carrier's own clock that it had, so a carrier, an owner or a link that stood still sends nothing whose time has passed; the owner's own way checks the same. A lost carrier leaves its orders unanswered, as a lost connection does. Specs go once to a carrier, within a quarter of the owner's link; it reads the others from the store. The owner watches names of jobs in place of their records, and a job found there is read with its progress, so that one that ended is not begun again.

--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -200,6 +200,15 @@
 	return w.Worker, true
 }
 
+// Zones counts the workers by zone.
+func (s *State) Zones() map[string]int {
+	zones := make(map[string]int)
+	for _, w := range s.workers {
+		zones[w.Zone]++
+	}
+	return zones
+}
+
 // ordered returns the workers by id, so that equal inputs give equal plans.
 func (s *State) ordered() []*worker {
 	if s.inOrderOfID == nil {
--- a/core/sched/look.go
+++ b/core/sched/look.go
@@ -32,6 +32,9 @@
 	case OtherLife:
 		s.otherLife(now, w)
 		return
+	case NotSent:
+		w.nextLook = now.Add(firstLookRetry) // it says nothing about the worker
+		return
 	default:
 		w.failures++
 		w.nextLook = now.Add(min(firstLookRetry<<min(w.failures-1, 8), lookRetryMost))
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -97,6 +97,7 @@
 const (
 	Carried     Answer = "Carried"
 	Unanswered  Answer = "Unanswered"  // it may have been carried out, or may be later
+	NotSent     Answer = "NotSent"     // it did not leave, and never will
 	Outdated    Answer = "Outdated"    // a higher fencing token was seen
 	Superseded  Answer = "Superseded"  // a run as high was stopped or ended there
 	TooLate     Answer = "TooLate"     // the lease in the order has passed
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,7 @@
 	quit      context.CancelCauseFunc
 	fence     uint64
 	state     *sched.State
+	carriers  *carriers
 	events    chan func(now time.Time)
 	saves     *store.Batcher
 	saving    context.Context // outlives the ownership, so that saves under way can end; the guard keeps them safe
@@ -39,6 +41,7 @@
 const (
 	eventBacklog    = 4096
 	intakePause     = 250 * time.Millisecond // jobs that an entry stored without the owner are rare
+	intakeSettle    = 20 * time.Millisecond  // the owner's own accept is answered at about the time of its event
 	forgetEvery     = 10 * time.Second
 	reportEvery     = time.Second
 	flushPatience   = 400 * time.Millisecond // an owner that stops lets its last saves end
@@ -57,6 +60,7 @@
 	c := &control{node: n, fence: o.revision, saving: ctx, events: make(chan func(time.Time), eventBacklog), revisions: make(map[string]uint64)}
 	c.ctx, c.quit = context.WithCancelCause(ctx)
 	c.state = sched.New(n.Now(), o.revision, n.Bounds)
+	c.carriers = newCarriers(c)
 	c.saves = &store.Batcher{Client: n.Store, Guard: &store.Condition{Key: keyOwner, Revision: o.revision}, Gather: saveGather, Patience: savePatience}
 	return c
 }
@@ -91,6 +95,7 @@
 	c.ready.Store(true)
 	c.group.Go(func() error { c.followWorkers(roll); return nil })
 	c.group.Go(func() error { c.followIntake(intake); return nil })
+	c.group.Go(func() error { c.carriers.tick(); return nil })
 	c.loop()
 	c.flush()
 	_ = c.group.Wait() // the goroutines return no errors
@@ -164,7 +169,7 @@
 
 // load reads all that is durable; the returned revision is where the intake goes on.
 func (c *control) load(roll *roll) (uint64, error) {
-	var jobs, progress, workers, waves, roster store.Batch
+	var jobs, intake, progress, workers, waves, roster store.Batch
 	read := func(prefix string, into *store.Batch) error {
 		for {
 			batch, err := c.node.Store.Range(c.ctx, prefix, store.Safety)
@@ -181,7 +186,7 @@
 	for _, r := range []struct {
 		prefix string
 		into   *store.Batch
-	}{{keyJobs, &jobs}, {keyState, &progress}, {keyWaves, &waves}, {keyRoster, &roster}, {c.node.Dialect.WorkersPrefix(), &workers}} {
+	}{{keyJobs, &jobs}, {keyCancel, &intake}, {keyState, &progress}, {keyWaves, &waves}, {keyRoster, &roster}, {c.node.Dialect.WorkersPrefix(), &workers}} {
 		if err := read(r.prefix, r.into); err != nil {
 			return 0, err
 		}
@@ -198,7 +203,7 @@
 		states[id] = p
 	}
 	now := c.node.Now()
-	c.takeJobs(now, jobs.Records, states, true)
+	c.takeJobs(now, slices.Concat(jobs.Records, intake.Records), states, true)
 	for _, r := range waves.Records {
 		var s sched.WaveStatus
 		if err := json.Unmarshal(r.Value, &s); err != nil {
@@ -243,32 +248,92 @@
 
 // takeIntake takes in jobs and cancels that others stored. An owner that has not noticed its replacement may
 // have accepted such a job and started its tasks on a worker that this one has not looked at yet.
-func (c *control) takeIntake(now time.Time, records []store.Record) {
-	c.takeJobs(now, records, nil, true)
+func (c *control) takeIntake(now time.Time, records []store.Record, states map[string]sched.Progress) {
+	c.takeJobs(now, records, states, true)
 }
 
-// followIntake takes in what entries stored without the owner.
+// followIntake takes in what entries stored without the owner. It watches the names of jobs only: the owner has
+// accepted most of them itself, and their records would fill a thin link.
 func (c *control) followIntake(after uint64) {
 	for c.ctx.Err() == nil {
-		batch, err := c.node.Store.WatchPrefix(c.ctx, keyJobs, after, watchWait)
+		batch, err := c.node.Store.WatchPrefix(c.ctx, keyIntake, after, watchWait)
 		if err == nil && batch.Full {
-			batch, err = c.node.Store.Range(c.ctx, keyJobs, store.Safety)
+			batch, err = c.node.Store.Range(c.ctx, keyIntake, store.Safety)
 		}
 		if err == nil {
 			after = max(after, batch.Revision)
 			if len(batch.Records) > 0 {
-				c.post(func(now time.Time) { c.takeIntake(now, batch.Records) })
+				pause(c.ctx, intakeSettle)
+				if records, states := c.unknown(batch.Records); len(records) > 0 {
+					c.post(func(now time.Time) { c.takeIntake(now, records, states) })
+				}
 			}
 		}
 		pause(c.ctx, intakePause)
 	}
 }
 
+// unknown reads the jobs among named ones that the state does not hold, with their progress, and returns all cancels.
+func (c *control) unknown(names []store.Record) ([]store.Record, map[string]sched.Progress) {
+	asked := make(chan []string, 1)
+	c.post(func(time.Time) {
+		var ids []string
+		for _, r := range names {
+			id := strings.TrimPrefix(r.Key, keyIntake)
+			if _, known := c.state.JobState(id); !known && !strings.HasPrefix(r.Key, keyCancel) {
+				ids = append(ids, id)
+			}
+		}
+		asked <- ids
+	})
+	var ids []string
+	select {
+	case ids = <-asked:
+	case <-c.ctx.Done():
+	}
+	var found []store.Record
+	states := make(map[string]sched.Progress)
+	for _, id := range ids {
+		job, read := c.read(keyJobs + id)
+		progress, readToo := c.read(keyState + id)
+		if !read || !readToo || job.Revision == 0 {
+			continue // the ownership has ended, or the job was forgotten meanwhile
+		}
+		if progress.Revision > 0 { // an end whose records were not deleted yet
+			p, err := sched.DecodeProgress(progress.Value)
+			if err != nil {
+				c.node.log("RecordSkipped").Str("Key", progress.Key).Err(err).Send()
+				continue
+			}
+			states[id] = p
+		}
+		found = append(found, job)
+	}
+	for _, r := range names {
+		if strings.HasPrefix(r.Key, keyCancel) {
+			found = append(found, r)
+		}
+	}
+	return found, states
+}
+
+// read reads a key until that succeeds; false says that the ownership has ended.
+func (c *control) read(key string) (store.Record, bool) {
+	for c.ctx.Err() == nil {
+		r, err := c.node.Store.Get(c.ctx, key, store.Safety)
+		if err == nil {
+			return r, true
+		}
+		pause(c.ctx, retryPause)
+	}
+	return store.Record{}, false
+}
+
 // forget deletes the records of jobs that ended long ago.
 func (c *control) forget(now time.Time) {
 	for _, id := range c.state.Forget(now) {
 		delete(c.revisions, keyState+id)
-		change := store.Change{Deletes: []string{keyState + id, keyJobs + id, keyCancel + id}}
+		change := store.Change{Deletes: []string{keyState + id, keyJobs + id, keyIntake + id, keyCancel + id}}
 		c.saves.Submit(c.saving, change, func(store.Settlement, error) {}) // what stays is deleted by a later owner
 	}
 }
--- a/io/node/desk.go
+++ b/io/node/desk.go
@@ -73,12 +73,7 @@
 		n.doubts.add(n.Now(), j.ID)
 	}
 	// Without the owner, or with one that the store turns away, nobody knows the load; the store alone can accept.
-	asked := err == nil
-	v = n.accept(ctx, j)
-	if !asked && v.StoreTrouble() {
-		v.Outcome = OutcomeUnknown
-	}
-	return v
+	return n.accept(ctx, j)
 }
 
 // accept stores a job under the condition that its id is new.
@@ -97,7 +92,7 @@
 		n.accepting[j.ID] = a
 		change := store.Change{
 			Conditions: []store.Condition{{Key: keyJobs + j.ID}},
-			Puts:       []store.Record{{Key: keyJobs + j.ID, Value: value}},
+			Puts:       []store.Record{{Key: keyJobs + j.ID, Value: value}, {Key: keyIntake + j.ID, Value: []byte(`{}`)}},
 		}
 		// The write outlives the caller: a job that was sent to the store may be accepted.
 		n.accepts.Submit(context.WithoutCancel(ctx), change, func(s store.Settlement, err error) {
--- a/io/node/elect.go
+++ b/io/node/elect.go
@@ -18,7 +18,8 @@
 	keyOwner  = "daisysaddle/owner"
 	keySecret = "daisysaddle/secret"
 	keyJobs   = "daisysaddle/jobs/"     // accepted jobs, written once
-	keyCancel = "daisysaddle/jobs/x/"   // cancels that an entry stored without the owner
+	keyIntake = "daisysaddle/intake/"   // names of accepted jobs, for the owner to find those that it did not accept itself
+	keyCancel = "daisysaddle/intake/x/" // cancels that an entry stored without the owner
 	keyState  = "daisysaddle/progress/" // written by the owner only
 	keyRoster = "daisysaddle/roster/"   // workers on which runs may be
 	keyWaves  = "daisysaddle/waves/"    // progress of maintenance waves
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -82,6 +82,7 @@
 	Deployment  string
 	PeerAddress netip.AddrPort
 	Cores       float64 // processors that the entry may use; zero when not known
+	LinkMbps    float64 // megabits a second of its network link; zero when not known
 	Bounds      sched.Settings
 }
 
@@ -110,6 +111,7 @@
 	ownerSilent atomic.Bool // the last request to the owner got no answer that counts
 	accepts     *store.Batcher
 	doubts      doubts // ids whose acceptance was not settled
+	porter      porter // carries out the orders of an owner
 	mesh        *peer.Mesh
 	peers       *http.Client
 	metrics     *metrics
@@ -138,6 +140,8 @@
 		waves: make(map[int64]sched.Wave), accepting: make(map[string]*acceptance),
 		accepts: &store.Batcher{Client: p.Store, Gather: acceptGather, Patience: acceptPatience},
 	}
+	n.porter.node = n
+	n.porter.ctx, n.porter.end = context.WithCancel(context.Background())
 	n.peers = n.peerClient()
 	p.Store.Observe = n.metrics.storeCall
 	return n
@@ -152,6 +156,7 @@
 	group.Go(func() error { return n.servePeers(ctx) })
 	group.Go(func() error { n.summarize(ctx); return nil })
 	err := group.Wait()
+	n.porter.close()
 	_ = n.background.Wait() // the links end with the context
 	n.log("Stop").Err(err).Send()
 	return err
@@ -297,8 +302,8 @@
 	}
 	sender := fleet.Sender{Name: n.Name, Incarnation: n.incarnation, PeerAddress: n.PeerAddress}
 	mesh := &peer.Mesh{
-		Self: peer.Identity{Deployment: n.Deployment, Zone: n.Zone, Sender: sender}, Keys: keys,
-		Receive: ignoreFrame, Changed: n.peerChanged, Handler: n.peerHandler(),
+		Self: peer.Identity{Deployment: n.Deployment, Zone: n.Zone, Sender: sender, Cores: n.Cores, LinkMbps: n.LinkMbps}, Keys: keys,
+		Receive: n.receive, Changed: n.peerChanged, Handler: n.peerHandler(),
 	}
 	n.mu.Lock()
 	n.mesh = mesh
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"daisysaddle/core/carry"
 	"daisysaddle/core/sched"
 	"daisysaddle/io/store"
 )
@@ -17,30 +18,18 @@
 		n.logNote(c.fence, note)
 	}
 	for _, start := range o.Starts {
-		c.order("Start", start.Worker, func(ctx context.Context, w sched.Worker) sched.Answer {
-			return n.Workers.Start(ctx, w, c.fence, start)
-		}, func(now time.Time, a sched.Answer) { c.state.StartAnswered(now, start, a) })
+		c.toWorker(start.Worker, start, orderTimeout, func(now time.Time, s sched.Sight) { c.state.StartAnswered(now, start, s.Answer) })
 	}
 	for _, stop := range o.Stops {
-		c.order("Stop", stop.Worker, func(ctx context.Context, w sched.Worker) sched.Answer {
-			return n.Workers.Stop(ctx, w, c.fence, stop)
-		}, func(now time.Time, a sched.Answer) { c.state.StopAnswered(now, stop, a) })
+		c.toWorker(stop.Worker, stop, orderTimeout, func(now time.Time, s sched.Sight) { c.state.StopAnswered(now, stop, s.Answer) })
 	}
 	for _, pace := range o.Paces {
-		c.order("Pace", pace.Worker, func(ctx context.Context, w sched.Worker) sched.Answer {
-			return n.Workers.Pace(ctx, w, c.fence, pace)
-		}, func(now time.Time, a sched.Answer) { c.state.PaceAnswered(now, pace, a) })
+		c.toWorker(pace.Worker, pace, orderTimeout, func(now time.Time, s sched.Sight) { c.state.PaceAnswered(now, pace, s.Answer) })
 	}
 	for _, look := range o.Looks {
-		c.toWorker(look.Worker, look.Wait+lookExtraWait, func(ctx context.Context, w sched.Worker) func(time.Time) {
-			at := n.Now()
-			sent := time.Now()
-			sight := n.Workers.Look(ctx, w, c.fence, look)
-			sight.Sent = at
-			n.metrics.order("Look", sight.Answer, time.Since(sent))
-			return func(now time.Time) { c.state.Looked(now, look.Worker, sight) }
-		})
+		c.toWorker(look.Worker, look, look.Wait+lookExtraWait, func(now time.Time, s sched.Sight) { c.state.Looked(now, look.Worker, s) })
 	}
+	c.carriers.flush(n.Now())
 	for _, save := range o.Saves {
 		c.save(save)
 	}
@@ -61,30 +50,65 @@
 	}
 }
 
-// order sends one order to a worker and hands its answer to the state.
-func (c *control) order(kind, worker string, send func(context.Context, sched.Worker) sched.Answer, take func(time.Time, sched.Answer)) {
-	c.toWorker(worker, orderTimeout, func(ctx context.Context, w sched.Worker) func(time.Time) {
-		sent := time.Now()
-		answer := send(ctx, w)
-		c.node.metrics.order(kind, answer, time.Since(sent))
-		return func(now time.Time) { take(now, answer) }
-	})
-}
-
-// toWorker calls a worker in a goroutine of its own and posts the event that the call returns.
-func (c *control) toWorker(id string, timeout time.Duration, call func(context.Context, sched.Worker) func(time.Time)) {
+// toWorker sends an order to a worker, itself or over a carrier, and hands what became of it to the state.
+func (c *control) toWorker(id string, order any, timeout time.Duration, take func(time.Time, sched.Sight)) {
 	w, known := c.state.Worker(id)
 	if !known {
 		return
 	}
+	now := c.node.Now()
+	if !c.carriers.send(now, w, order, timeout, take) {
+		c.direct(now, w, order, timeout, take)
+	}
+}
+
+// direct sends an order that was planned at a time, unless the process stood still since.
+func (c *control) direct(planned time.Time, w sched.Worker, order any, timeout time.Duration, take func(time.Time, sched.Sight)) {
 	c.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(c.ctx, timeout)
 		defer cancel()
-		c.post(call(ctx, w))
+		sight := sched.Sight{Answer: sched.NotSent}
+		if carry.Permitted(c.node.Now(), planned) {
+			sight = c.node.carryOut(ctx, w, c.fence, order)
+		}
+		c.node.metrics.order(orderName(order), sight.Answer, c.node.Now().Sub(planned))
+		sight.Sent = planned
+		c.post(func(now time.Time) {
+			c.carriers.note(w.ID, sight.Answer)
+			take(now, sight)
+		})
 		return nil
 	})
 }
 
+// carryOut makes the call of an order to a worker.
+func (n *Node) carryOut(ctx context.Context, w sched.Worker, fence uint64, order any) sched.Sight {
+	switch o := order.(type) {
+	case sched.Start:
+		return sched.Sight{Answer: n.Workers.Start(ctx, w, fence, o)}
+	case sched.Stop:
+		return sched.Sight{Answer: n.Workers.Stop(ctx, w, fence, o)}
+	case sched.Pace:
+		return sched.Sight{Answer: n.Workers.Pace(ctx, w, fence, o)}
+	case sched.Look:
+		return n.Workers.Look(ctx, w, fence, o)
+	}
+	return sched.Sight{Answer: sched.NotSent}
+}
+
+// orderName returns the name of an order in metrics.
+func orderName(order any) string {
+	switch order.(type) {
+	case sched.Start:
+		return "Start"
+	case sched.Stop:
+		return "Stop"
+	case sched.Pace:
+		return "Pace"
+	}
+	return "Look"
+}
+
 // save stores a job's progress under the condition that this entry still owns the workers.
 func (c *control) save(s sched.Save) {
 	value, err := s.Progress.Encode()
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -32,7 +32,17 @@
 	return l, errors.Wrap(err, "listen for peers")
 }
 
-func ignoreFrame(peer.Identity, *wire.Frame) {}
+// receive takes in a frame from another entry.
+func (n *Node) receive(from peer.Identity, f *wire.Frame) {
+	switch {
+	case f.GetOrders() != nil:
+		n.porter.take(from.Sender.Incarnation, f.GetOrders())
+	case f.GetAnswers() != nil:
+		if c := n.control.Load(); c != nil {
+			c.carriers.answered(from.Sender.Incarnation, f.GetAnswers())
+		}
+	}
+}
 
 func (n *Node) peerChanged(p peer.Identity, up bool) {
 	event := "PeerLost"
--- a/io/node/proof.go
+++ b/io/node/proof.go
@@ -9,13 +9,18 @@
 //
 //	reason              proof
 //	Admit's reasons     the owner holds no such job and is not in doubt about its id
-//	StoreDown           this entry sent nothing, and nor did an owner that it asked
+//	StoreDown           this entry sent nothing for the id, and nor did an owner that it asked
 //	StoreRefused        the store answered each attempt, and carried out none
 //	NotEncoded          nothing was sent
 //
 // A request that left for the owner without an answer, or a write without one, leaves the id in doubt: the write may
 // still be carried out. No refusal of an id in doubt is a proof, on this attempt or on a later one, until the store
-// answers a write of it. An entry that can ask neither the owner nor the store cannot know of attempts elsewhere.
+// answers a write of it.
+//
+// What is not proven: an entry that can ask neither the owner nor the store cannot know of an attempt at an entry that
+// fell silent. It refuses all the same, because a caller must not repeat a request whose end is unknown, and almost every
+// request to an entry that is cut off is a first attempt: in the cut of a zone 784 callers of 4907 jobs were left
+// without a second try by the opposite choice (lc-palermo-large trouble-3). Whoever asks an entry that sees the store hears the truth.
 
 // doubts remembers ids whose acceptance was not settled.
 type doubts struct {
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -24,6 +24,8 @@
 	Deployment string
 	Zone       string
 	Sender     fleet.Sender
+	Cores      float64 // processors that it may use; zero when not known
+	LinkMbps   float64 // megabits a second of its network link; zero when not known
 }
 
 const (
@@ -127,7 +129,7 @@
 	if err := l.control.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return errors.Wrap(err, "set handshake deadline")
 	}
-	hello := &wire.Hello{Version: protocolVersion, Deployment: self.Deployment, Zone: self.Zone, Sender: ToWire(self.Sender)}
+	hello := &wire.Hello{Version: protocolVersion, Deployment: self.Deployment, Zone: self.Zone, Sender: ToWire(self.Sender), Cores: self.Cores, LinkMbps: self.LinkMbps}
 	if err := l.write(&wire.Frame{Body: &wire.Frame_Hello{Hello: hello}}); err != nil {
 		return err
 	}
@@ -144,7 +146,10 @@
 	case theirs.GetDeployment() != self.Deployment:
 		return errors.Wrapf(ErrRefused, "deployment %q: want %q", theirs.GetDeployment(), self.Deployment)
 	}
-	l.peer = Identity{Deployment: theirs.GetDeployment(), Zone: theirs.GetZone(), Sender: FromWire(theirs.GetSender())}
+	l.peer = Identity{
+		Deployment: theirs.GetDeployment(), Zone: theirs.GetZone(), Sender: FromWire(theirs.GetSender()),
+		Cores: theirs.GetCores(), LinkMbps: theirs.GetLinkMbps(),
+	}
 	return errors.Wrap(l.control.SetDeadline(time.Time{}), "clear handshake deadline")
 }
 
