Renew the owner's lease while earlier renewals are on their way

Cause: an owner gave up each renewal after 500 ms and began the next one only then; on a path that takes longer every renewal failed and the lease of 1.5 s was lost. Ruled out: the successor's reading of progress, which is guarded by the owner's record. Change: a renewal begins each 400 ms and may take as long as the lease is trusted (1.3 s). Late answers confirm nothing, and answers that overtake each other never shorten a confirmation. Before: the new test's owner is suspended within 4 s at answers of 900 ms. After: it goes on.

--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -123,7 +123,11 @@
 }
 
 // Confirm records until when no other entry can be the owner.
-func (s *State) Confirm(until time.Time) { s.confirmed = until }
+func (s *State) Confirm(until time.Time) {
+	if until.After(s.confirmed) { // answers may overtake each other
+		s.confirmed = until
+	}
+}
 
 // addWorker takes in a worker on which runs of an earlier owner may be until the barrier.
 func (s *State) addWorker(known Worker) *worker {
--- a/io/node/elect.go
+++ b/io/node/elect.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,7 +40,7 @@
 const (
 	ownerLease   = 1500 * time.Millisecond // a dead owner is replaced after this long; the store grants 1 s and more
 	renewEvery   = 400 * time.Millisecond
-	renewTimeout = 500 * time.Millisecond // beyond the answer of a store that is 60 times slower (240 ms)
+	renewTimeout = ownerLease - leaseMargin // an answer that takes longer confirms nothing
 	ownerPatient = 4 * time.Second        // an owner that can't reach the platform stops its orders; core/sched relies on it
 	leaseMargin  = 200 * time.Millisecond // between the end of a lease here and at the store
 	claimWait    = 2 * time.Second
@@ -229,26 +230,61 @@
 	}
 }
 
-// keepLease renews the lease of the ownership.
+// keepLease renews the lease of the ownership. A renewal begins at each period, also while earlier ones are on their way,
+// so that answers may take as long as the lease lasts: a slow path to the store is no reason to lose it.
 func (n *Node) keepLease(c *control, lease string, confirmed time.Time) {
+	var newest latest // sending time of a renewal that was answered
+	newest.raise(confirmed)
+	var renewals errgroup.Group
 	for c.ctx.Err() == nil {
 		pause(c.ctx, renewEvery)
 		sent := n.Now()
-		call, cancel := context.WithTimeout(c.ctx, renewTimeout)
-		err := n.Store.Renew(call, lease)
-		cancel()
-		switch {
-		case err == nil && c.suspended.Load() && !n.stillOwns(c):
-		case err == nil:
-			confirmed = sent
-			c.confirm(sent)
-			c.resume()
-		case errors.Is(err, store.ErrNoLease):
-			c.quit(errLeaseLost)
-		case n.Now().Sub(confirmed) > ownerPatient:
+		if sent.Sub(newest.raise(time.Time{})) > ownerPatient {
 			c.suspend()
 		}
+		renewals.Go(func() error {
+			if n.renew(c, lease, sent) {
+				newest.raise(sent)
+			}
+			return nil
+		})
+	}
+	_ = renewals.Wait() // the goroutines return no errors
+}
+
+// renew makes one renewal and reports whether it succeeded; a suspended owner goes on when its record stands too.
+func (n *Node) renew(c *control, lease string, sent time.Time) bool {
+	call, cancel := context.WithTimeout(c.ctx, renewTimeout)
+	defer cancel()
+	err := n.Store.Renew(call, lease)
+	switch {
+	case errors.Is(err, store.ErrNoLease):
+		c.quit(errLeaseLost)
+		return false
+	case err != nil || n.Now().Sub(sent) > renewTimeout: // the process may have stood still
+		return false
+	case c.suspended.Load() && !n.stillOwns(c):
+		return false
+	}
+	c.confirm(sent)
+	c.resume()
+	return true
+}
+
+// latest is the latest of some times.
+type latest struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+// raise takes in a time and returns the latest one.
+func (l *latest) raise(t time.Time) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t.After(l.at) {
+		l.at = t
 	}
+	return l.at
 }
 
 // stillOwns reports whether the store holds the ownership record of a suspended owner.
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -187,3 +187,18 @@
 		must.Eq(t, next.Routes, c.nodes[away].Config().Routes)
 	}
 }
+
+// TestOwnerKeepsItsLeaseOnASlowPath: answers of the store take nearly as long as the lease lasts; the owner's orders go on.
+// It had given up each renewal after 500 ms and begun the next one then.
+func TestOwnerKeepsItsLeaseOnASlowPath(t *testing.T) {
+	c, backends := newCluster(t, 2, 0)
+	owner := c.nodes[0].owning()
+	for _, b := range backends {
+		b.setSlow(900 * time.Millisecond)
+	}
+	for deadline := time.Now().Add(ownerPatient + ownerLease); time.Now().Before(deadline); {
+		must.False(t, owner.suspended.Load())
+		time.Sleep(20 * time.Millisecond)
+	}
+	must.Eq(t, owner, c.nodes[0].owning())
+}
