--- a/io/node/elect.go
+++ b/io/node/elect.go
@@ -41,8 +41,8 @@
 	ownerLease   = 1500 * time.Millisecond // a dead owner is replaced after this long; the store grants 1 s and more
 	renewEvery   = 400 * time.Millisecond
 	renewTimeout = ownerLease - leaseMargin // an answer that takes longer confirms nothing
-	ownerPatient = 4 * time.Second        // an owner that can't reach the platform stops its orders; core/sched relies on it
-	leaseMargin  = 200 * time.Millisecond // between the end of a lease here and at the store
+	ownerPatient = 4 * time.Second          // an owner that can't reach the platform stops its orders; core/sched relies on it
+	leaseMargin  = 200 * time.Millisecond   // between the end of a lease here and at the store
 	claimWait    = 2 * time.Second
 )
 
