Let an unexpected error cost a frame, an order or the ownership, not the process

Callers' requests were safe already, by net/http. Change: a panic in the control loop ends the ownership, whose lease is given up at once, so that a successor reads what is durable; an order counts as unanswered, a frame is dropped. daisysaddle_panics_total counts them and must be zero; each is logged with its stack. Before: both new tests end the test process. After: they pass, and the job in hand completes with each task started once.

--- a/io/node/control.go
+++ b/io/node/control.go
@@ -106,6 +106,7 @@
 }
 
 func (c *control) loop() {
+	defer c.node.caught("Control", func() { c.quit(errPanicked) })
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	forgot := c.node.Now()
--- a/io/node/elect.go
+++ b/io/node/elect.go
@@ -213,7 +213,7 @@
 	c.run()
 	reason := context.Cause(c.ctx)
 	_ = group.Wait() // the goroutines return no errors
-	if errors.Is(reason, errStopping) || ctx.Err() != nil {
+	if errors.Is(reason, errStopping) || errors.Is(reason, errPanicked) || ctx.Err() != nil {
 		n.giveUp(context.WithoutCancel(ctx), lease)
 	}
 	return reason
--- /dev/null
+++ b/io/node/guard_test.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"daisysaddle/core/sched"
+	"daisysaddle/io/peer"
+	"daisysaddle/io/stand"
+	"daisysaddle/io/store"
+	"daisysaddle/io/wire"
+)
+
+// TestPanicEndsTheOwnershipOnly: an unexpected error in the owner's control loop costs the ownership, not the process, and
+// the work goes on.
+func TestPanicEndsTheOwnershipOnly(t *testing.T) {
+	c, _ := newCluster(t, 2, 0)
+	c.await("the second entry is ready", c.nodes[1].Ready)
+	owner := c.nodes[0].owning()
+	must.Eq(t, OutcomeDone, c.nodes[1].Submit(t.Context(), job("j", 6)).Outcome)
+	owner.post(func(time.Time) { panic("unexpected") })
+	c.await("the ownership has ended", func() bool { return owner.ctx.Err() != nil })
+	must.ErrorIs(t, context.Cause(owner.ctx), errPanicked)
+	c.await("j is completed", func() bool { return c.state(c.nodes[0], "j") == sched.Completed })
+	must.Eq(t, 7, c.fleet.count("j"))
+}
+
+// brittle panics in each call to a worker.
+type brittle struct{ Workers }
+
+// TestPanicInACallOrAFrame: the order counts as unanswered, and the frame is dropped.
+func TestPanicInACallOrAFrame(t *testing.T) {
+	n := New(Settings{Name: "e"}, Parts{Store: store.NewClient(&stand.Platform{}), Workers: brittle{}, Dialect: fakeDialect{}, Now: SteadyClock()})
+	must.Eq(t, sched.Unanswered, n.carryOut(t.Context(), sched.Worker{ID: "w"}, 1, sched.Look{}).Answer)
+	n.control.Store(&control{node: n})                                                                                      // one without carriers
+	n.receive(peer.Identity{}, &wire.Frame{Body: &wire.Frame_Answers{Answers: &wire.Answers{Answers: []*wire.Answer{{}}}}}) // must not end the test
+}
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -20,6 +20,7 @@
 	store     *prometheus.HistogramVec
 	requests  *prometheus.HistogramVec
 	dropped   prometheus.Counter
+	panics    prometheus.Counter
 }
 
 const (
@@ -47,7 +48,8 @@
 		}, []string{"method", "status"}),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{Name: "daisysaddle_log_lines_dropped_total", Help: "Log lines that were dropped to keep their volume bounded."}),
 	}
-	m.registry.MustRegister(m.accepts, m.decisions, m.orders, m.store, m.requests, m.dropped)
+	m.panics = prometheus.NewCounter(prometheus.CounterOpts{Name: "daisysaddle_panics_total", Help: "Panics that were caught; it must be zero."})
+	m.registry.MustRegister(m.accepts, m.decisions, m.orders, m.store, m.requests, m.dropped, m.panics)
 	return m
 }
 
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -83,7 +83,8 @@
 }
 
 // carryOut makes the call of an order to a worker.
-func (n *Node) carryOut(ctx context.Context, w sched.Worker, fence uint64, order any) sched.Sight {
+func (n *Node) carryOut(ctx context.Context, w sched.Worker, fence uint64, order any) (s sched.Sight) {
+	defer n.caught("Order", func() { s = sched.Sight{Answer: sched.Unanswered} }) // it may have left
 	switch o := order.(type) {
 	case sched.Start:
 		return sched.Sight{Answer: n.Workers.Start(ctx, w, fence, o)}
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -34,6 +34,7 @@
 
 // receive takes in a frame from another entry.
 func (n *Node) receive(from peer.Identity, f *wire.Frame) {
+	defer n.caught("Frame", func() {})
 	switch {
 	case f.GetOrders() != nil:
 		n.porter.take(from.Sender.Incarnation, f.GetOrders())
