Read the intake of jobs in one way, and its list once

Cause, from reading the change once more: the load of a new owner and the intake each had a parallel read of their own; a watch whose history is gone returns the whole list already, in each backend, and the intake read it a second time; takeJobs had a parameter that every caller passed as true, and takeIntake only passed on to it. Ruled out as twins: askUnknown and query (one waits for names, the other for a verdict that tells of its caller), the imports of tests. Change: readAll serves both; the second list is gone; takeIntake is the one function. No decision, bound or check changes.

--- a/io/node/control.go
+++ b/io/node/control.go
@@ -208,7 +208,7 @@
 		return 0, err
 	}
 	now := c.node.Now()
-	c.takeJobs(now, jobs, states, true)
+	c.takeIntake(now, jobs, states)
 	for _, r := range waves.Records {
 		var s sched.WaveStatus
 		if err := json.Unmarshal(r.Value, &s); err != nil {
--- a/io/node/intake.go
+++ b/io/node/intake.go
@@ -22,36 +22,62 @@
 // loadsAtOnce bounds the jobs that are read at once: 32 calls of 4 ms bring 8000 jobs a second.
 const loadsAtOnce = 32
 
+// readAll reads keys at once, and returns their records in the same order; they are empty once the ownership has ended.
+func (c *control) readAll(keys []string) []store.Record {
+	records := make([]store.Record, len(keys))
+	var group errgroup.Group
+	group.SetLimit(loadsAtOnce)
+	for i, key := range keys {
+		group.Go(func() error {
+			records[i] = c.read(key)
+			return nil
+		})
+	}
+	_ = group.Wait() // the goroutines return no errors
+	return records
+}
+
+// read reads a key until that succeeds or the ownership ends.
+func (c *control) read(key string) store.Record {
+	for c.ctx.Err() == nil {
+		r, err := c.node.Store.Get(c.ctx, key, store.Safety)
+		if err == nil {
+			return r
+		}
+		pause(c.ctx, retryPause)
+	}
+	return store.Record{}
+}
+
 // loadJobs reads the named jobs that have not ended, and returns them and the cancels; of the others the state needs
 // nothing but how they ended.
 func (c *control) loadJobs(names []store.Record, states map[string]sched.Progress) ([]store.Record, error) {
-	jobs := make([]store.Record, len(names))
-	var group errgroup.Group
-	group.SetLimit(loadsAtOnce)
 	now := c.node.Now()
-	for i, r := range names {
+	var keys []string
+	var cancels []store.Record
+	for _, r := range names {
 		id := strings.TrimPrefix(r.Key, keyIntake)
 		switch {
 		case strings.HasPrefix(r.Key, keyCancel):
-			jobs[i] = r
+			cancels = append(cancels, r)
 		case states[id].State.Final():
 			c.state.AddJob(now, sched.Job{ID: id}, states[id], true)
 		default:
-			group.Go(func() error {
-				jobs[i], _ = c.read(keyJobs + id)
-				return nil
-			})
+			keys = append(keys, keyJobs+id)
 		}
 	}
-	_ = group.Wait() // the goroutines return no errors
+	jobs := c.readAll(keys)
 	if err := context.Cause(c.ctx); err != nil {
 		return nil, errors.Wrap(err, "read the jobs")
 	}
-	return slices.DeleteFunc(jobs, func(r store.Record) bool { return r.Revision == 0 }), nil
+	jobs = slices.DeleteFunc(jobs, func(r store.Record) bool { return r.Revision == 0 })
+	return append(jobs, cancels...), nil
 }
 
-// takeJobs takes in accepted jobs and cancels; jobs come first, because a cancel may lie before its job.
-func (c *control) takeJobs(now time.Time, records []store.Record, states map[string]sched.Progress, inherited bool) {
+// takeIntake takes in jobs and cancels that others stored; jobs come first, because a cancel may lie before its job. An
+// owner that has not noticed its replacement may have started such a job's tasks on a worker that this one has not
+// looked at yet, so all of them are inherited.
+func (c *control) takeIntake(now time.Time, records []store.Record, states map[string]sched.Progress) {
 	var cancels []string
 	for _, r := range records {
 		if id, is := strings.CutPrefix(r.Key, keyCancel); is {
@@ -63,27 +89,18 @@
 			c.node.log("RecordSkipped").Str("Key", r.Key).Err(err).Send()
 			continue
 		}
-		c.state.AddJob(now, j, states[j.ID], inherited)
+		c.state.AddJob(now, j, states[j.ID], true)
 	}
 	for _, id := range cancels {
 		c.state.Cancel(now, id)
 	}
 }
 
-// takeIntake takes in jobs and cancels that others stored. An owner that has not noticed its replacement may
-// have accepted such a job and started its tasks on a worker that this one has not looked at yet.
-func (c *control) takeIntake(now time.Time, records []store.Record, states map[string]sched.Progress) {
-	c.takeJobs(now, records, states, true)
-}
-
 // catchUp takes in what was stored while the rest was read, which takes seconds on a slow link: a job that was
 // cancelled meanwhile must not begin.
 func (c *control) catchUp(after uint64) uint64 {
 	for c.ctx.Err() == nil {
 		batch, err := c.node.Store.WatchPrefix(c.ctx, keyIntake, after, catchUpWait)
-		if err == nil && batch.Full {
-			batch, err = c.node.Store.Range(c.ctx, keyIntake, store.Safety)
-		}
 		if err != nil {
 			pause(c.ctx, retryPause)
 			continue
@@ -100,9 +117,6 @@
 func (c *control) followIntake(after uint64) {
 	for c.ctx.Err() == nil {
 		batch, err := c.node.Store.WatchPrefix(c.ctx, keyIntake, after, watchWait)
-		if err == nil && batch.Full {
-			batch, err = c.node.Store.Range(c.ctx, keyIntake, store.Safety)
-		}
 		if err == nil {
 			after = max(after, batch.Revision)
 			if len(batch.Records) > 0 {
@@ -142,32 +156,27 @@
 
 // readIntake reads jobs with their progress, and returns them and all cancels among the names.
 func (c *control) readIntake(ids []string, names []store.Record) ([]store.Record, map[string]sched.Progress) {
-	jobs, progress := make([]store.Record, len(ids)), make([]store.Record, len(ids))
-	var group errgroup.Group
-	group.SetLimit(loadsAtOnce)
-	for i, id := range ids {
-		group.Go(func() error {
-			jobs[i], _ = c.read(keyJobs + id)
-			progress[i], _ = c.read(keyState + id)
-			return nil
-		})
+	var keys []string
+	for _, id := range ids {
+		keys = append(keys, keyJobs+id, keyState+id)
 	}
-	_ = group.Wait() // the goroutines return no errors
+	records := c.readAll(keys)
 	var found []store.Record
 	states := make(map[string]sched.Progress)
 	for i, id := range ids {
-		if jobs[i].Revision == 0 {
+		job, progress := records[2*i], records[2*i+1]
+		if job.Revision == 0 {
 			continue // the ownership has ended, or the job was forgotten meanwhile
 		}
-		if progress[i].Revision > 0 { // an end whose records were not deleted yet
-			p, err := sched.DecodeProgress(progress[i].Value)
+		if progress.Revision > 0 { // an end whose records were not deleted yet
+			p, err := sched.DecodeProgress(progress.Value)
 			if err != nil {
-				c.node.log("RecordSkipped").Str("Key", progress[i].Key).Err(err).Send()
+				c.node.log("RecordSkipped").Str("Key", progress.Key).Err(err).Send()
 				continue
 			}
 			states[id] = p
 		}
-		found = append(found, jobs[i])
+		found = append(found, job)
 	}
 	for _, r := range names {
 		if strings.HasPrefix(r.Key, keyCancel) {
@@ -176,15 +185,3 @@
 	}
 	return found, states
 }
-
-// read reads a key until that succeeds; false says that the ownership has ended.
-func (c *control) read(key string) (store.Record, bool) {
-	for c.ctx.Err() == nil {
-		r, err := c.node.Store.Get(c.ctx, key, store.Safety)
-		if err == nil {
-			return r, true
-		}
-		pause(c.ctx, retryPause)
-	}
-	return store.Record{}, false
-}
