Send orders to workers again when their answer is overdue

Cause: with half of the orders unanswered and carried out late, an order held one of a worker's three connections for 600 ms, a start without an answer kept its room for a second or more, and a poll without an answer made the worker unusable for 1.7 s. Half of the jobs of seconds 4 to 14 failed or were late. Change: core/resend estimates each worker's response time and its share of lost copies. io/node sends an overdue order again with the same run number and token, up to six copies; a worker that left 18 copies in a row unanswered gets single ones. Polls allow shorter delays while copies are lost. No copy leaves after its permit has ended. A refusal of a second copy proves nothing about the first.

--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -9,7 +9,7 @@
 
 const (
 	unconfirmedWait     = 400 * time.Millisecond // time for an unanswered start to show in a poll, before the run is stopped
-	pollWait            = time.Second            // longest time that a worker may delay its answer to a poll
+	pollWait            = 800 * time.Millisecond // longest time that a worker may delay its answer to a poll; a copy must leave within a permit's second
 	unsavedPollInterval = 250 * time.Millisecond // interval of polls while ended runs can't be stored and acknowledged
 	machineListInterval = 500 * time.Millisecond // interval at which the list of machines is read, a third of a machine move's time
 	placeInterval       = 250 * time.Millisecond // interval of placement without an event, since pauses and tickets end without one
--- a/io/node/carrier.go
+++ b/io/node/carrier.go
@@ -106,11 +106,14 @@
 	if order, err = p.addSpec(ctx, order); err != nil {
 		return notSent
 	}
-	if now := p.node.Now(); !carry.Permitted(now, heard) {
-		p.node.logLimited("PermitEnded").Str("Worker", w.ID).Dur("Age", now.Sub(heard)).Uint64("Fence", token).Send()
-		return notSent
-	}
-	return p.node.execute(ctx, w, token, order)
+	return p.node.sendOrder(ctx, w, token, order, func() bool {
+		now := p.node.Now()
+		permitted := carry.Permitted(now, heard)
+		if !permitted {
+			p.node.logLimited("PermitEnded").Str("Worker", w.ID).Dur("Age", now.Sub(heard)).Uint64("Fence", token).Send()
+		}
+		return permitted
+	})
 }
 
 // addSpec adds the spec to a start order that has none.
--- a/io/node/fake_test.go
+++ b/io/node/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
 	"sync"
@@ -57,6 +58,30 @@
 	spec      string         // of the last start
 	startedAt time.Time
 	now       func() time.Time
+	stopped   map[sched.TaskID]int64 // highest run number that was stopped or ended, by task
+	lossShare float64                // share of the orders that get no answer and are executed executeLate later
+	random    *rand.Rand
+	late      errgroup.Group
+}
+
+// executeLate is shorter than a worker's real delay, but longer than all copies of an order and than a task.
+const executeLate = 800 * time.Millisecond
+
+// lose reports whether an order is lost. If so, it executes the order later and waits until the sender gives up.
+func (f *fakeFleet) lose(ctx context.Context, execute func()) bool {
+	f.mu.Lock()
+	lost := f.random.Float64() < f.lossShare
+	f.mu.Unlock()
+	if !lost {
+		return false
+	}
+	f.late.Go(func() error {
+		time.Sleep(executeLate)
+		execute()
+		return nil
+	})
+	<-ctx.Done()
+	return true
 }
 
 type fakeRun struct {
@@ -68,6 +93,7 @@
 	return &fakeFleet{
 		token: make(map[string]uint64), runs: make(map[string]map[sched.TaskID]fakeRun), ended: make(map[string][]sched.EndedRun),
 		starts: make(map[sched.TaskID]int), calls: make(map[string]int), startedAt: now(), now: now,
+		stopped: make(map[sched.TaskID]int64), random: rand.New(rand.NewPCG(1, 0)),
 	}
 }
 
@@ -83,35 +109,60 @@
 	}
 	for id, r := range f.runs[w.ID] {
 		if f.now().After(r.ends) {
-			delete(f.runs[w.ID], id)
-			n := int64(len(f.ended[w.ID]) + 1)
-			f.ended[w.ID] = append(f.ended[w.ID], sched.EndedRun{Number: n, RunStatus: sched.RunStatus{Task: id, Run: r.number}, Reason: sched.Done})
+			f.end(w, sched.RunStatus{Task: id, Run: r.number}, sched.Done)
 		}
 	}
 	return true
 }
 
-func (f *fakeFleet) Start(_ context.Context, w sched.Worker, token uint64, o sched.Start) sched.Answer {
+// end removes a run and lists it as ended.
+func (f *fakeFleet) end(w sched.Worker, status sched.RunStatus, reason sched.EndReason) {
+	delete(f.runs[w.ID], status.Task)
+	f.stopped[status.Task] = max(f.stopped[status.Task], status.Run)
+	n := int64(len(f.ended[w.ID]) + 1)
+	f.ended[w.ID] = append(f.ended[w.ID], sched.EndedRun{Number: n, RunStatus: status, Reason: reason})
+}
+
+func (f *fakeFleet) Start(ctx context.Context, w sched.Worker, token uint64, o sched.Start) sched.Answer {
+	if f.lose(ctx, func() { f.start(w, token, o) }) {
+		return sched.Unanswered
+	}
+	return f.start(w, token, o)
+}
+
+func (f *fakeFleet) start(w sched.Worker, token uint64, o sched.Start) sched.Answer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.advance(w, token) {
 		return sched.StaleToken
 	}
+	if r, runs := f.runs[w.ID][o.Task]; runs && r.number == o.Run {
+		return sched.Executed
+	}
+	if o.Run <= f.stopped[o.Task] {
+		return sched.Superseded
+	}
 	f.runs[w.ID][o.Task] = fakeRun{o.Run, f.now().Add(taskTime)}
 	f.starts[o.Task]++
 	return sched.Executed
 }
 
-func (f *fakeFleet) Stop(_ context.Context, w sched.Worker, token uint64, o sched.Stop) sched.Answer {
+func (f *fakeFleet) Stop(ctx context.Context, w sched.Worker, token uint64, o sched.Stop) sched.Answer {
+	if f.lose(ctx, func() { f.stop(w, token, o) }) {
+		return sched.Unanswered
+	}
+	return f.stop(w, token, o)
+}
+
+func (f *fakeFleet) stop(w sched.Worker, token uint64, o sched.Stop) sched.Answer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.advance(w, token) {
 		return sched.StaleToken
 	}
+	f.stopped[o.Task] = max(f.stopped[o.Task], o.Run)
 	if r, runs := f.runs[w.ID][o.Task]; runs {
-		delete(f.runs[w.ID], o.Task)
-		n := int64(len(f.ended[w.ID]) + 1)
-		f.ended[w.ID] = append(f.ended[w.ID], sched.EndedRun{Number: n, RunStatus: sched.RunStatus{Task: o.Task, Run: r.number}, Reason: sched.Stopped})
+		f.end(w, sched.RunStatus{Task: o.Task, Run: r.number}, sched.Stopped)
 	}
 	return sched.Executed
 }
@@ -121,6 +172,9 @@
 }
 
 func (f *fakeFleet) Poll(ctx context.Context, w sched.Worker, token uint64, o sched.Poll) sched.PollResult {
+	if f.lose(ctx, func() {}) {
+		return sched.PollResult{Answer: sched.Unanswered}
+	}
 	sleep(ctx, o.Wait/20)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -282,6 +336,7 @@
 			stop()
 		}
 		must.NoError(t, c.group.Wait())
+		must.NoError(t, c.fleet.late.Wait())
 	})
 	return c, backends
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -112,6 +112,7 @@
 	ownerUnresponsive atomic.Bool    // the last request to the owner failed, or the owner could not use the store
 	acceptBatcher     *store.Batcher // writes accepted jobs
 	unsettled         unsettledIDs   // ids of jobs whose write is unsettled
+	destinations      destinations   // the workers to which it sends orders
 	carrier           carrier        // sends the orders that an owner on another entry forwards
 	mesh              *peer.Mesh
 	httpClient        *http.Client // sends requests over the mesh
