Send no job into silence: probe the owner and the store first

Cause: in a zone cut off from the owner and the store each submit waited 0.7 s for the owner and 1.5 s for the store and was answered Unknown, after which its caller may not try again: up to 80 callers a cut. After an outage the store counted as down for up to 500 ms more, as its breaker stayed open after a call had succeeded. An id is unsettled while the owner has its request. A success closes the breaker.

--- a/io/node/fake_test.go
+++ b/io/node/fake_test.go
@@ -224,6 +224,32 @@
 	writeDelay  time.Duration // writes take effect after this time, even when the caller has given up
 	loseAnswers bool          // writes take effect, but their answers are lost
 	renewDelay  time.Duration // answers to renewals take this long
+	silent      bool          // calls get no answer and have no effect
+}
+
+func (f *faultyBackend) setSilent(silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = silent
+}
+
+// awaitAnswer waits until ctx ends and fails while the store is silent.
+func (f *faultyBackend) awaitAnswer(ctx context.Context) error {
+	f.mu.Lock()
+	silent := f.silent
+	f.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	<-ctx.Done()
+	return errors.Mark(ctx.Err(), store.ErrUnavailable)
+}
+
+func (f *faultyBackend) Get(ctx context.Context, key string) (store.Record, error) {
+	if err := f.awaitAnswer(ctx); err != nil {
+		return store.Record{}, err
+	}
+	return f.Platform.Get(ctx, key)
 }
 
 func (f *faultyBackend) setRenewDelay(renewDelay time.Duration) {
@@ -254,6 +280,9 @@
 }
 
 func (f *faultyBackend) Commit(ctx context.Context, c store.Change) (uint64, []store.Record, error) {
+	if err := f.awaitAnswer(ctx); err != nil {
+		return 0, nil, err
+	}
 	if err := f.unavailable(); err != nil {
 		return 0, nil, err
 	}
@@ -284,6 +313,9 @@
 }
 
 func (f *faultyBackend) Range(ctx context.Context, prefix string) (store.Batch, error) {
+	if err := f.awaitAnswer(ctx); err != nil {
+		return store.Batch{}, err
+	}
 	if err := f.unavailable(); err != nil {
 		return store.Batch{}, err
 	}
@@ -291,6 +323,9 @@
 }
 
 func (f *faultyBackend) WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Batch, error) {
+	if err := f.awaitAnswer(ctx); err != nil {
+		return store.Batch{}, err
+	}
 	if err := f.unavailable(); err != nil {
 		return store.Batch{}, err
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -112,6 +112,8 @@
 	ownerUnresponsive atomic.Bool    // the last request to the owner failed, or the owner could not use the store
 	acceptBatcher     *store.Batcher // writes accepted jobs
 	unsettled         unsettledIDs   // ids of jobs whose write is unsettled
+	ownerReach        reach          // whether the owner answers
+	storeReach        reach          // whether the store answers
 	destinations      destinations   // the workers to which it sends orders
 	carrier           carrier        // sends the orders that an owner on another entry forwards
 	mesh              *peer.Mesh
@@ -143,6 +145,7 @@
 		waves: make(map[int64]sched.Wave), accepting: make(map[string]*acceptance),
 		acceptBatcher: &store.Batcher{Client: p.Store, MinInterval: acceptBatchDelay, RetryTimeout: acceptTimeout},
 	}
+	n.ownerReach.silentAfter, n.storeReach.silentAfter = ownerSilentAfter, storeSilentAfter
 	n.carrier.node = n
 	n.carrier.ctx, n.carrier.cancel = context.WithCancel(context.Background())
 	n.httpClient = n.peerClient()
@@ -185,7 +188,8 @@
 
 // isolated reports whether the entry can accept no jobs, because it can use neither the store nor the owner.
 func (n *Node) isolated(now time.Time) bool {
-	if n.Store.DownFor(now) < isolatedAfter {
+	n.noteStoreAnswer()
+	if n.Store.DownFor(now) < isolatedAfter && !n.storeReach.silent() {
 		return false
 	}
 	o := n.owner.Load()
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -24,6 +24,7 @@
 	maxPeerBodyBytes  = 1 << 20
 	linkCheckInterval = 200 * time.Millisecond
 	maxIdlePeerConns  = 8
+	alivePath         = "/alive" // answered without effect, for probes
 )
 
 func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
@@ -114,10 +115,14 @@
 	if o == nil || o.Incarnation == n.incarnation {
 		return Verdict{}, errNoOwner
 	}
+	if !n.ownerAnswers(ctx, o) {
+		return Verdict{}, errOwnerSilent
+	}
 	var v Verdict
 	if err := n.askPeer(ctx, o.Incarnation, method, path, ownerTimeout, body, &v); err != nil {
 		return Verdict{}, err
 	}
+	n.ownerReach.record(n.Now())
 	return v, nil
 }
 
@@ -173,6 +178,7 @@
 		})
 	}
 	mux.HandleFunc("GET "+configPath, n.serveConfig)
+	mux.HandleFunc("GET "+alivePath, func(w http.ResponseWriter, _ *http.Request) { writeVerdict(w, http.StatusOK, Verdict{}) })
 	withJob := func(apply func(*control, context.Context, sched.Job) Verdict) func(*http.Request, *control) Verdict {
 		return func(r *http.Request, c *control) Verdict {
 			var j sched.Job
--- a/io/node/requests.go
+++ b/io/node/requests.go
@@ -71,13 +71,16 @@
 	if o := n.owner.Load(); o != nil && o.Thin && !n.Store.Down(time.Now()) {
 		return n.acceptAdmitted(ctx, j)
 	}
+	// The id is unsettled while the owner has the request, since another attempt may come meanwhile.
+	first := !n.unsettled.has(n.Now(), j.ID)
+	n.unsettled.add(n.Now(), j.ID)
 	v, err := n.askOwner(ctx, "POST", "/jobs/"+j.ID, j)
+	if first && (errors.Is(err, errNotSent) || err == nil && v.Outcome == OutcomeNotRun) {
+		n.unsettled.settle(j.ID)
+	}
 	if err == nil && !v.RefusedByStore() {
 		return v
 	}
-	if err != nil && !errors.Is(err, errNotSent) {
-		n.unsettled.add(n.Now(), j.ID)
-	}
 	// Admission control needs the owner. When the owner can't be reached, or can't reach the store itself, the job is stored
 	// without it.
 	return n.accept(ctx, j)
@@ -116,6 +119,9 @@
 	if err != nil {
 		return Verdict{Outcome: OutcomeNotRun, Reason: "NotEncoded"}
 	}
+	if !n.isAccepting(j.ID) && !n.storeAnswers(ctx) {
+		return Verdict{Outcome: OutcomeNotRun, RetryAfter: n.storeRetryAfter(), Reason: "StoreSilent"}
+	}
 	n.mu.Lock()
 	a := n.accepting[j.ID]
 	if a == nil {
@@ -143,6 +149,13 @@
 	}
 }
 
+// isAccepting reports whether this entry is storing a job with the id.
+func (n *Node) isAccepting(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.accepting[id] != nil
+}
+
 // acceptVerdict returns, logs and counts the result of storing a job.
 func (n *Node) acceptVerdict(j sched.Job, s store.CommitResult, err error) Verdict {
 	v := Verdict{Outcome: OutcomeDone, State: sched.Pending}
@@ -177,6 +190,9 @@
 
 // storedState reads the state of a job from the store, for when the owner is out of reach or does not know the job yet.
 func (n *Node) storedState(ctx context.Context, id string) Verdict {
+	if !n.storeAnswers(ctx) {
+		return Verdict{Outcome: OutcomeUnknown, RetryAfter: n.storeRetryAfter(), Reason: "StoreSilent"}
+	}
 	record, err := n.Store.Get(ctx, keyProgress+id, store.Critical)
 	if err != nil {
 		return Verdict{Outcome: OutcomeUnknown, RetryAfter: n.storeRetryAfter(), Reason: "StoreUnanswered"}
@@ -397,4 +413,6 @@
 var (
 	errNotSent = errors.New("request was not sent to another entry")
 	errNoOwner = errors.Mark(errors.New("owner is unknown or not linked"), errNotSent)
+
+	errOwnerSilent = errors.Mark(errors.New("owner left a probe unanswered"), errNotSent)
 )
--- a/io/node/unsettled.go
+++ b/io/node/unsettled.go
@@ -10,6 +10,7 @@
 //	reason              proof
 //	those of Admit      the owner holds no such job and its id is not unsettled
 //	StoreDown           this entry sent no write for the id, and neither did an owner that it asked
+//	StoreSilent         the same: the store left a probe unanswered, so no write was sent
 //	StoreRefused        the store answered each attempt and applied none
 //	NotEncoded          nothing was sent
 //
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -56,6 +56,7 @@
 	failures         int       // consecutive ones
 	downSince        time.Time // time of the first of the consecutive failures
 	breakerOpenUntil time.Time
+	answeredAt       time.Time // when a call was last answered
 }
 
 const (
@@ -260,13 +261,20 @@
 	return now.Sub(c.downSince)
 }
 
+// SinceAnswer returns the time since the platform last answered a call, and whether it ever did.
+func (c *Client) SinceAnswer(now time.Time) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.answeredAt), !c.answeredAt.IsZero()
+}
+
 // recordResult counts consecutive calls that failed or exceeded the platform's rate limit, and opens the circuit breaker after
-// breakerFailures of them. Any other result, such as a conflict, ends the sequence.
+// breakerFailures of them. Any other result, such as a conflict, ends the sequence and closes the breaker.
 func (c *Client) recordResult(err error, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrRateLimited) {
-		c.failures = 0
+		c.failures, c.breakerOpenUntil, c.answeredAt = 0, time.Time{}, now
 		return
 	}
 	if c.failures == 0 {
