Keep a machine for maintenance only while a wave has machines left

Cause: each pool held one machine more than its long-running tasks need at all times, four of 48 that a burst lacked. Change: the extra machine is kept while a wave has machines whose maintenance has not begun.

--- a/core/sched/share_test.go
+++ b/core/sched/share_test.go
@@ -88,3 +88,19 @@
 		})
 	}
 }
+
+// TestExtraMachineOnlyForMaintenance: a pool keeps one machine more than its long-running tasks need while a wave has machines
+// left, since a task whose machine is due moves there, and gives it up for other pools' bursts afterwards.
+func TestExtraMachineOnlyForMaintenance(t *testing.T) {
+	s := New(time.Unix(1_700_000_000, 0), 1, simSettings)
+	s.SetConfig(Config{Version: 1, Pools: map[string]Pool{"p": {Name: "p"}}})
+	l := &poolDemand{minWorkers: 5}
+	floor, _ := s.machinesNeeded("p", l)
+	must.Eq(t, 5, floor)
+	s.waves[1] = &wave{}
+	floor, _ = s.machinesNeeded("p", l)
+	must.Eq(t, 6, floor)
+	s.waves[1].allBegun = true
+	floor, _ = s.machinesNeeded("p", l)
+	must.Eq(t, 5, floor)
+}
--- a/core/sched/sizing.go
+++ b/core/sched/sizing.go
@@ -258,10 +258,23 @@
 		longRunning = max(longRunning, l.longRunning[i]/unit[i])
 		all = max(all, (l.longRunning[i]+batch*packingMargin)/unit[i])
 	}
-	floor = max(int(math.Ceil(longRunning)), l.minWorkers+1, 1)
+	floor = max(int(math.Ceil(longRunning)), l.minWorkers, 1)
+	if s.maintenanceLeft() {
+		floor = max(floor, l.minWorkers+1) // a task whose machine is due needs another worker
+	}
 	return floor, max(int(math.Ceil(all)), floor)
 }
 
+// maintenanceLeft reports whether a wave has machines whose maintenance has not begun.
+func (s *State) maintenanceLeft() bool {
+	for _, w := range s.waves {
+		if !w.completionStored && !w.allBegun {
+			return true
+		}
+	}
+	return false
+}
+
 // shareMachines divides the machines among the pools. If all pools together need more than there are, each gets its floor and
 // the same fraction of what it needs beyond. A pool that needs machines gets them from one that holds more than its share, so
 // that the end of one pool's burst does not keep them from the burst of the next.
