Name what pool sizing shares, and count orders that are sent again

The history of a pool holds its shares, so its names say so. Costs in the order of a wave's machines have names. daisysaddle_order_copies_total counts copies. An id whose request to the owner failed stays unsettled also when another attempt with it was refused meanwhile.

--- a/core/sched/move_test.go
+++ b/core/sched/move_test.go
@@ -34,13 +34,13 @@
 func TestNewOwnerReportsNoSurplus(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	l := &poolDemand{share: 1}
-	l.recordNeed(now)
-	must.Greater(t, 1000, l.maxNeed(now.Add(time.Second), spareSurplusTime))
+	l.recordShare(now)
+	must.Greater(t, 1000, l.maxShare(now.Add(time.Second), spareSurplusTime))
 	l.share = 7
-	l.recordNeed(now.Add(time.Second))
+	l.recordShare(now.Add(time.Second))
 	l.share = 2
 	later := now.Add(2500 * time.Millisecond)
-	l.recordNeed(later)
-	must.Eq(t, 7, l.maxNeed(later, spareSurplusTime))
-	must.Eq(t, 2, l.maxNeed(later, poolSurplusTime))
+	l.recordShare(later)
+	must.Eq(t, 7, l.maxShare(later, spareSurplusTime))
+	must.Eq(t, 2, l.maxShare(later, poolSurplusTime))
 }
--- a/core/sched/sizing.go
+++ b/core/sched/sizing.go
@@ -13,49 +13,49 @@
 
 // poolDemand is the demand of one pool.
 type poolDemand struct {
-	shortRate     vector       // resource-seconds requested per second, averaged over shortRateWindow
-	longRate      vector       // the same, averaged over longRateWindow
-	ratesAt       time.Time    // when the rates were last decayed
-	needHistory   []needSample // samples of the last spareSurplusTime, oldest first
-	recordedSince time.Time    // time of the first sample
-	shortMaxNeed  int          // largest need of the last poolSurplusTime; machines above it may go to another pool
-	longMaxNeed   int          // largest need of the last spareSurplusTime; machines above it may go to the spare pool
-	backlog       vector       // resource-seconds of the waiting batch tasks
-	inUse         vector       // resources of the runs
-	longRunning   vector       // resources of the long-running tasks, running or waiting, and of the waiting backfill tasks
-	minWorkers    int          // workers that the long-running steps need to be spread over
-	machines      int          // machines that serve the pool or are on their way to it, see countMachines
-	recentJobs    float64      // number of arrivals, averaged over shortRateWindow
-	floor         int          // machines that the pool needs without batch tasks
-	need          int          // machines that the pool needs, at least floor
-	share         int          // of need, as many machines as there are for the pool, see shareMachines
+	shortRate     vector        // resource-seconds requested per second, averaged over shortRateWindow
+	longRate      vector        // the same, averaged over longRateWindow
+	ratesAt       time.Time     // when the rates were last decayed
+	shareHistory  []shareSample // samples of the last spareSurplusTime, oldest first
+	recordedSince time.Time     // time of the first sample
+	shortMaxShare int           // largest share of the last poolSurplusTime; machines above it may go to another pool
+	longMaxShare  int           // largest share of the last spareSurplusTime; machines above it may go to the spare pool
+	backlog       vector        // resource-seconds of the waiting batch tasks
+	inUse         vector        // resources of the runs
+	longRunning   vector        // resources of the long-running tasks, running or waiting, and of the waiting backfill tasks
+	minWorkers    int           // workers that the long-running steps need to be spread over
+	machines      int           // machines that serve the pool or are on their way to it, see countMachines
+	recentJobs    float64       // number of arrivals, averaged over shortRateWindow
+	floor         int           // machines that the pool needs without batch tasks
+	need          int           // machines that the pool needs, at least floor
+	share         int           // of need, as many machines as there are for the pool, see shareMachines
 }
 
-// needSample is the share of the machines that a pool needed at one time.
-type needSample struct {
-	at   time.Time
-	need int
+// shareSample is a pool's share at one time.
+type shareSample struct {
+	at    time.Time
+	share int
 }
 
-// recordNeed adds a sample of the pool's share and drops those older than spareSurplusTime.
-func (l *poolDemand) recordNeed(now time.Time) {
+// recordShare adds a sample of the pool's share and drops those older than spareSurplusTime.
+func (l *poolDemand) recordShare(now time.Time) {
 	if l.recordedSince.IsZero() {
 		l.recordedSince = now
 	}
-	l.needHistory = append(l.needHistory, needSample{now, l.share})
-	l.needHistory = slices.DeleteFunc(l.needHistory, func(n needSample) bool { return now.Sub(n.at) > spareSurplusTime })
+	l.shareHistory = append(l.shareHistory, shareSample{now, l.share})
+	l.shareHistory = slices.DeleteFunc(l.shareHistory, func(n shareSample) bool { return now.Sub(n.at) > spareSurplusTime })
 }
 
-// maxNeed returns the largest number of machines that a pool needed within a window that ends now. A pool gives up
+// maxShare returns a pool's largest share within a window that ends now. A pool gives up
 // only machines above it, so that the falling demand at the end of a burst does not count as a lasting surplus.
-func (l *poolDemand) maxNeed(now time.Time, window time.Duration) int {
+func (l *poolDemand) maxShare(now time.Time, window time.Duration) int {
 	if now.Sub(l.recordedSince) < window {
 		return math.MaxInt // a new owner has no record of a surplus
 	}
 	most := l.share
-	for _, n := range l.needHistory {
+	for _, n := range l.shareHistory {
 		if now.Sub(n.at) <= window {
-			most = max(most, n.need)
+			most = max(most, n.share)
 		}
 	}
 	return most
@@ -147,8 +147,8 @@
 	}
 	s.shareMachines()
 	for _, l := range s.demands {
-		l.recordNeed(now)
-		l.shortMaxNeed, l.longMaxNeed = l.maxNeed(now, poolSurplusTime), l.maxNeed(now, spareSurplusTime)
+		l.recordShare(now)
+		l.shortMaxShare, l.longMaxShare = l.maxShare(now, poolSurplusTime), l.maxShare(now, spareSurplusTime)
 	}
 	for _, name := range sortedKeys(s.moves) {
 		s.advanceMove(now, name, s.moves[name])
@@ -166,7 +166,7 @@
 // unbalanced reports whether some pool lacks machines or has a surplus that may go to the spare pool.
 func (s *State) unbalanced() bool {
 	for _, l := range s.demands {
-		if l.machines < l.share || l.machines > l.longMaxNeed {
+		if l.machines < l.share || l.machines > l.longMaxShare {
 			return true
 		}
 	}
@@ -377,7 +377,7 @@
 		return false
 	}
 	l := s.demands[c.Pool]
-	return c.spare || l != nil && l.machines > l.shortMaxNeed
+	return c.spare || l != nil && l.machines > l.shortMaxShare
 }
 
 // drainTime returns the expected time until a machine's batch tasks have ended.
@@ -462,7 +462,7 @@
 	}
 	for _, c := range all {
 		l := s.demands[c.Pool]
-		if c.spare || l == nil || l.machines <= l.longMaxNeed {
+		if c.spare || l == nil || l.machines <= l.longMaxShare {
 			continue
 		}
 		if s.moves[c.Name] == nil && !s.refusedMoves[moveTarget{c.Name, spare}] {
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -47,6 +47,9 @@
 	machineListLag        = 200 * time.Millisecond  // a list of machines may be this old when it is read
 	waveReserveDivisor    = 3                       // one part in this many of a wave's time is held back, since outages delay the wave
 	maintenanceOverhead   = 1500 * time.Millisecond // time that one machine's turn takes beyond its maintenance
+	pressedDownDivisor    = 2                       // a wave is pressed for time when it needs one part in this many of the machines that may be down at once
+	longRunningCost       = 100                     // of restarting a long-running task elsewhere, in runs; above any number of batch tasks on a machine
+	neededMachineCost     = 10_000                  // of taking a machine that batch tasks need, in runs; above any number of long-running tasks
 )
 
 // AddWave adds a wave; a wave that is known already stays as it is.
@@ -310,7 +313,7 @@
 // pressedForTime reports whether a wave has only as much of its target duration left as its remaining machines take with half
 // of those down that may be down at once; left is their number.
 func (s *State) pressedForTime(now time.Time, w *wave, left int) bool {
-	atOnce := max(1, w.MaxDown/2)
+	atOnce := max(1, w.MaxDown/pressedDownDivisor)
 	return now.Sub(w.requestedAt)+time.Duration(left)*s.maintenanceCycle()/time.Duration(atOnce) >= w.targetDuration()
 }
 
@@ -363,12 +366,12 @@
 		}
 		n := 1
 		if s.neededByPool(m) {
-			n += 10_000 // above any number of runs
+			n += neededMachineCost
 		}
 		for _, r := range wk.runs {
 			n++
 			if r.task != nil && r.task.stage.step.LongRunning {
-				n += 100 // restarting a long-running task elsewhere costs more than waiting for any number of batch tasks
+				n += longRunningCost
 			}
 		}
 		return n
--- a/io/node/requests.go
+++ b/io/node/requests.go
@@ -75,7 +75,10 @@
 	first := !n.unsettled.has(n.Now(), j.ID)
 	n.unsettled.add(n.Now(), j.ID)
 	v, err := n.askOwner(ctx, "POST", "/jobs/"+j.ID, j)
-	if first && (errors.Is(err, errNotSent) || err == nil && v.Outcome == OutcomeNotRun) {
+	switch {
+	case err != nil && !errors.Is(err, errNotSent):
+		n.unsettled.add(n.Now(), j.ID) // a refused attempt may have settled it meanwhile
+	case first && (err != nil || v.Outcome == OutcomeNotRun):
 		n.unsettled.settle(j.ID)
 	}
 	if err == nil && !v.RefusedByStore() {
--- a/io/node/resend.go
+++ b/io/node/resend.go
@@ -170,6 +170,9 @@
 // sendCopy sends the next copy. Only the first copy of a poll lets the worker delay its answer.
 func (t *transmission) sendCopy(ctx context.Context) {
 	t.copies++
+	if t.copies > 1 {
+		t.node.metrics.copies.WithLabelValues(orderName(t.order)).Inc()
+	}
 	order, wait := t.order, t.wait
 	if poll, is := order.(sched.Poll); is {
 		poll.Wait = wait
