Bar late copies of starts after a worker restarted under its id

Cause, found by reading: (1) if the platform's list shows a worker's new incarnation before a poll does, the numbers of its ended runs were compared with those of the earlier one, so ends up to that number were not read and their tasks ran again. (2) A late copy of a start whose run had ended could be executed by the new incarnation, which does not know the run. Change: the list resets what is known of the earlier incarnation too, and the owner stops there what it started in the last 12 s. No task is placed on a worker that still holds a run of it. Measured: TestWorkerRestartsUnderItsID and TestLateCopyAfterARestart fail on the code before.

--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -59,9 +59,18 @@
 	inRoster           bool            // the stored roster names it
 	// rosterSaving is set while a change of its roster record is being stored.
 	rosterSaving    bool
-	rosterUnsettled bool      // a change of its roster record is unsettled: it may have been stored
-	nextScan        time.Time // when its runs are next examined; zero for the next plan
-	ended           bool      // this incarnation has ended, though the platform may still list it
+	rosterUnsettled bool          // a change of its roster record is unsettled: it may have been stored
+	nextScan        time.Time     // when its runs are next examined; zero for the next plan
+	ended           bool          // this incarnation has ended, though the platform may still list it
+	recentStarts    []recentStart // starts of the last lateExecution, oldest first
+}
+
+// recentStart is a start that was ordered lately.
+type recentStart struct {
+	task   TaskID
+	number int64
+	size   Size
+	since  time.Time
 }
 
 // unsavedEnd is an ended run whose effect on its job must be durable before it is acknowledged.
@@ -151,7 +160,8 @@
 			s.placementChanged = true
 			s.logDecision("WorkerCame", TaskID{}, next.ID, next.Pool+" started "+now.Sub(next.StartedAt).Round(time.Millisecond).String()+" ago", 0)
 		} else if !w.StartedAt.Equal(next.StartedAt) && next.StartedAt.After(w.StartedAt) {
-			// A new incarnation with the same id: the runs of the earlier one have ended, and a poll must show its own.
+			// A new incarnation with the same id: a poll must show its runs.
+			s.workerRestarted(now, w, next.StartedAt)
 			w.polled, w.nextPoll = false, now
 		}
 		if w.Draining != next.Draining || w.Pool != next.Pool || !w.listed {
@@ -303,10 +313,22 @@
 	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Occurrence, o.Occurrence), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
 }
 
+// lateExecution is the longest time after which a worker may still execute an order that it left unanswered.
+const lateExecution = 12 * time.Second
+
+// recordStart remembers a start, of which a copy may be executed late, and forgets those that are too old for that.
+func (w *worker) recordStart(now time.Time, r *run) {
+	for len(w.recentStarts) > 0 && now.Sub(w.recentStarts[0].since) > lateExecution {
+		w.recentStarts = w.recentStarts[1:]
+	}
+	w.recentStarts = append(w.recentStarts, recentStart{r.id, r.number, r.size, now})
+}
+
 // workerRestarted releases the runs of a worker's earlier incarnation, after the worker has restarted.
 //
-// A start without an answer may still be executed by the new incarnation, so its run is kept.
-func (s *State) workerRestarted(w *worker, startedAt time.Time) {
+// A late copy of a recent start may still be executed by the new incarnation, which does not know that its run has ended. So
+// the starts without an answer are kept, and the others are stopped, which makes the new incarnation refuse them.
+func (s *State) workerRestarted(now time.Time, w *worker, startedAt time.Time) {
 	w.StartedAt = startedAt
 	w.lastEndRead, w.lastEndAcked, w.unsavedEnds = 0, 0, nil
 	clear(w.failedJobs)
@@ -317,4 +339,14 @@
 		s.logDecision("Lost", r.id, w.ID, "WorkerStartedAnew", r.number)
 		s.release(r)
 	}
+	for _, b := range w.recentStarts {
+		if r := w.runs[b.task]; (r == nil || r.number < b.number) && now.Sub(b.since) <= lateExecution {
+			if r != nil {
+				s.release(r)
+			}
+			s.reserve(w, &run{id: b.task, number: b.number, phase: stopping, size: b.size, since: now, pace: fullPercent})
+		}
+	}
+	w.recentStarts = nil
+	w.requestScan()
 }
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -218,7 +218,7 @@
 	var best *worker
 	var bestScore score
 	for _, w := range workers {
-		if !size.Fits(w.free()) || !st.allowed(now, q, w) || perWorker[w.ID] >= st.step.workerLimit() {
+		if !size.Fits(w.free()) || !st.allowed(now, q, w) || perWorker[w.ID] >= st.step.workerLimit() || w.runs[t.id()] != nil {
 			continue
 		}
 		sc := score{
@@ -335,6 +335,7 @@
 	r := &run{id: t.id(), task: t, number: number, phase: starting, size: st.step.reserved(), since: now, saved: t.saved, pace: fullPercent}
 	t.run, t.lastRun = r, number
 	s.reserve(w, r)
+	w.recordStart(now, r)
 	s.extendLease(now, w)
 	s.markStarted(st.job)
 	order := Start{Worker: w.ID, Task: r.id, Run: number, Spec: st.job.Spec, Saved: t.saved, Until: s.leaseEndOn(now, w), Ticket: st.tickets[w.ID].text}
--- a/core/sched/poll.go
+++ b/core/sched/poll.go
@@ -51,7 +51,7 @@
 			w.nextPoll = now.Add(minPollRetry) // a late answer of an earlier incarnation
 			return
 		}
-		s.workerRestarted(w, result.StartedAt)
+		s.workerRestarted(now, w, result.StartedAt)
 	}
 	w.pollFailures, w.polled, w.nextPoll, w.lastPoll = 0, true, now, result.Sent
 	w.clock, w.clockAt = result.Clock, now
--- /dev/null
+++ b/core/sched/restart_test.go
@@ -0,0 +1,50 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestWorkerRestartsUnderItsID: a worker's process ends and starts again under the same id, and the platform's list shows it
+// before a poll does. The ends that the new incarnation counts from one are read, and each task succeeds once.
+func TestWorkerRestartsUnderItsID(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 1})
+	w.run(settleTime)
+	w.submit(batch("before", "p", 4, 1000, 2))
+	w.run(3 * time.Second)
+	must.Eq(t, Completed, w.owner.state.jobs["before"].visibleState)
+	x := w.workers[0]
+	x.StartedAt, x.leaseEnd, x.token, x.lastEnd, x.ended = w.now, time.Time{}, 0, 0, nil
+	clear(x.highestEnded)
+	w.listWorkers(w.owner)
+	w.submit(batch("after", "p", 4, 1000, 2))
+	w.run(3 * time.Second)
+	must.Eq(t, Completed, w.owner.state.jobs["after"].visibleState)
+	must.SliceEmpty(t, w.violations)
+	for id, starts := range w.starts {
+		must.Eq(t, 1, starts, must.Sprint(id))
+	}
+}
+
+// TestLateCopyAfterARestart: the copy of a start is executed after the run has ended and the worker has started again under its
+// id. The owner has stopped the run there before, so the worker refuses the copy.
+func TestLateCopyAfterARestart(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 1})
+	w.run(settleTime)
+	w.submit(batch("j", "p", 4, 1000, 1))
+	w.run(2 * time.Second)
+	must.Eq(t, Completed, w.owner.state.jobs["j"].visibleState)
+	x := w.workers[0]
+	id := TaskID{Job: "j"}
+	late := Start{Worker: x.ID, Task: id, Run: x.highestEnded[id], Until: time.Hour}
+	x.StartedAt, x.leaseEnd, x.token, x.lastEnd, x.ended = w.now, time.Time{}, 0, 0, nil
+	clear(x.highestEnded)
+	w.listWorkers(w.owner)
+	w.run(2*pollWait + time.Second) // a poll that was sent before the stops, and one after them
+	must.Eq(t, Superseded, w.start(w.owner, x, late))
+	must.SliceEmpty(t, w.violations)
+	must.MapEmpty(t, w.owner.state.workers[x.ID].runs)
+	must.Eq(t, Size{}, w.owner.state.workers[x.ID].used)
+}
