--- a/core/sched/restart_test.go
+++ b/core/sched/restart_test.go
@@ -7,6 +7,13 @@
 	"github.com/shoenig/test/must"
 )
 
+// restartUnderID starts a new incarnation of a worker under its id, which the platform's list shows before any poll does.
+func (w *simulation) restartUnderID(x *simWorker) {
+	x.StartedAt, x.leaseEnd, x.token, x.lastEnd, x.ended = w.now, time.Time{}, 0, 0, nil
+	clear(x.highestEnded)
+	w.listWorkers(w.owner)
+}
+
 // TestWorkerRestartsUnderItsID: a worker's process ends and starts again under the same id, and the platform's list shows it
 // before a poll does. The ends that the new incarnation counts from one are read, and each task succeeds once.
 func TestWorkerRestartsUnderItsID(t *testing.T) {
@@ -16,9 +23,7 @@
 	w.run(3 * time.Second)
 	must.Eq(t, Completed, w.owner.state.jobs["before"].visibleState)
 	x := w.workers[0]
-	x.StartedAt, x.leaseEnd, x.token, x.lastEnd, x.ended = w.now, time.Time{}, 0, 0, nil
-	clear(x.highestEnded)
-	w.listWorkers(w.owner)
+	w.restartUnderID(x)
 	w.submit(batch("after", "p", 4, 1000, 2))
 	w.run(3 * time.Second)
 	must.Eq(t, Completed, w.owner.state.jobs["after"].visibleState)
@@ -39,9 +44,7 @@
 	x := w.workers[0]
 	id := TaskID{Job: "j"}
 	late := Start{Worker: x.ID, Task: id, Run: x.highestEnded[id], Until: time.Hour}
-	x.StartedAt, x.leaseEnd, x.token, x.lastEnd, x.ended = w.now, time.Time{}, 0, 0, nil
-	clear(x.highestEnded)
-	w.listWorkers(w.owner)
+	w.restartUnderID(x)
 	w.run(2*pollWait + time.Second) // a poll that was sent before the stops, and one after them
 	must.Eq(t, Superseded, w.start(w.owner, x, late))
 	must.SliceEmpty(t, w.violations)
