--- a/core/sched/restart_test.go
+++ b/core/sched/restart_test.go
@@ -14,19 +14,21 @@
 	w.listWorkers(w.owner)
 }
 
+// complete runs a job of two steps to its end.
+func (w *simulation) complete(id string) {
+	w.submit(batch(id, "p", 4, 1000, 2))
+	w.run(3 * time.Second)
+	must.Eq(w.t, Completed, w.owner.state.jobs[id].visibleState)
+}
+
 // TestWorkerRestartsUnderItsID: a worker's process ends and starts again under the same id, and the platform's list shows it
 // before a poll does. The ends that the new incarnation counts from one are read, and each task succeeds once.
 func TestWorkerRestartsUnderItsID(t *testing.T) {
 	w := newSimulation(t, 1, map[string]int{"p": 1})
 	w.run(settleTime)
-	w.submit(batch("before", "p", 4, 1000, 2))
-	w.run(3 * time.Second)
-	must.Eq(t, Completed, w.owner.state.jobs["before"].visibleState)
-	x := w.workers[0]
-	w.restartUnderID(x)
-	w.submit(batch("after", "p", 4, 1000, 2))
-	w.run(3 * time.Second)
-	must.Eq(t, Completed, w.owner.state.jobs["after"].visibleState)
+	w.complete("before")
+	w.restartUnderID(w.workers[0])
+	w.complete("after")
 	must.SliceEmpty(t, w.violations)
 	for id, starts := range w.starts {
 		must.Eq(t, 1, starts, must.Sprint(id))
@@ -38,9 +40,7 @@
 func TestLateCopyAfterARestart(t *testing.T) {
 	w := newSimulation(t, 1, map[string]int{"p": 1})
 	w.run(settleTime)
-	w.submit(batch("j", "p", 4, 1000, 1))
-	w.run(2 * time.Second)
-	must.Eq(t, Completed, w.owner.state.jobs["j"].visibleState)
+	w.complete("j")
 	x := w.workers[0]
 	id := TaskID{Job: "j"}
 	late := Start{Worker: x.ID, Task: id, Run: x.highestEnded[id], Until: time.Hour}
--- a/core/sched/sizing.go
+++ b/core/sched/sizing.go
@@ -26,7 +26,7 @@
 	minWorkers    int           // workers that the long-running steps need to be spread over
 	machines      int           // machines that serve the pool or are on their way to it, see countMachines
 	recentJobs    float64       // number of arrivals, averaged over shortRateWindow
-	floor         int           // machines that the pool needs without batch tasks
+	floor         int           // machines that the pool needs without batch tasks, one more while a wave has machines left
 	need          int           // machines that the pool needs, at least floor
 	share         int           // of need, as many machines as there are for the pool, see shareMachines
 }
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -47,7 +47,7 @@
 	machineListLag        = 200 * time.Millisecond  // a list of machines may be this old when it is read
 	waveReserveDivisor    = 3                       // one part in this many of a wave's time is held back, since outages delay the wave
 	maintenanceOverhead   = 1500 * time.Millisecond // time that one machine's turn takes beyond its maintenance
-	pressedDownDivisor    = 2                       // a wave is pressed for time when it needs one part in this many of the machines that may be down at once
+	pressedDownDivisor    = 2                       // a wave should not need more than one part in this many of MaxDown, since outages hold machines up
 	longRunningCost       = 100                     // of restarting a long-running task elsewhere, in runs; above any number of batch tasks on a machine
 	neededMachineCost     = 10_000                  // of taking a machine that batch tasks need, in runs; above any number of long-running tasks
 )
@@ -253,12 +253,7 @@
 		}
 		if p.chosenAt.IsZero() {
 			s.logWaiting(now, w, p)
-			needed := s.neededByPool(m)
-			limit := w.MaxDown
-			if needed {
-				limit = s.waveLimit(now, w, left)
-			}
-			if !spare && !p.unconfirmed && (down+chosen >= limit || needed && !s.pressedForTime(now, w, left) || !s.mayTakeDown(now, s.workers[m.Worker], false)) {
+			if !spare && !p.unconfirmed && (!s.mayChoose(now, w, m, down+chosen, left) || !s.mayTakeDown(now, s.workers[m.Worker], false)) {
 				continue
 			}
 			p.chosenAt = now
@@ -304,6 +299,15 @@
 	s.logDecision("Held", TaskID{}, m.Worker, p.machine+" "+why, w.Number)
 }
 
+// mayChoose reports whether a wave may choose a machine while taken others are chosen or down. One that its pool needs is chosen
+// only when the wave is pressed for time, and then only as fast as the wave needs.
+func (s *State) mayChoose(now time.Time, w *wave, m Machine, taken, left int) bool {
+	if !s.neededByPool(m) {
+		return taken < w.MaxDown
+	}
+	return s.pressedForTime(now, w, left) && taken < s.waveLimit(now, w, left)
+}
+
 // neededByPool reports whether a machine has runs and its pool has no more machines than its batch work needs.
 func (s *State) neededByPool(m Machine) bool {
 	l := s.demands[m.Pool]
--- a/io/node/carrier.go
+++ b/io/node/carrier.go
@@ -106,7 +106,7 @@
 	if order, err = p.addSpec(ctx, order); err != nil {
 		return notSent
 	}
-	return p.node.sendOrder(ctx, w, token, order, func() bool {
+	return p.node.transmit(ctx, w, token, order, func() bool {
 		now := p.node.Now()
 		permitted := carry.Permitted(now, heard)
 		if !permitted {
--- a/io/node/dispatch.go
+++ b/io/node/dispatch.go
@@ -73,7 +73,7 @@
 		result := sched.PollResult{Answer: sched.NotSent}
 		order, err := c.node.carrier.addSpec(ctx, order)
 		if err == nil {
-			result = c.node.sendOrder(ctx, w, c.token, order, func() bool { return carry.Permitted(c.node.Now(), planned) })
+			result = c.node.transmit(ctx, w, c.token, order, func() bool { return carry.Permitted(c.node.Now(), planned) })
 		}
 		c.node.metrics.observeOrder(orderName(order), result.Answer, c.node.Now().Sub(planned))
 		result.Sent = planned
--- a/io/node/reach.go
+++ b/io/node/reach.go
@@ -29,7 +29,7 @@
 }
 
 const (
-	freshAnswer      = 100 * time.Millisecond // an answer this recent needs no probe; callers that a cut meets in this time get no proof
+	freshAnswer      = 100 * time.Millisecond // an answer this recent needs no probe; a job sent within this time after a cut may stay unanswered
 	slowProbeFactor  = 3                      // times the last probe's duration, for a callee that is slow but not silent
 	ownerSilentAfter = 150 * time.Millisecond // far above the time of a probe between entries (2 ms)
 	storeSilentAfter = 600 * time.Millisecond // far above a call to a slow store (300 ms), a quarter of a short job's objective
--- a/io/node/resend.go
+++ b/io/node/resend.go
@@ -106,10 +106,10 @@
 	took time.Duration // beyond the wait that the copy allowed
 }
 
-// sendOrder sends an order to a worker until it is answered. An order without an answer in its usual time is sent again on
+// transmit sends an order to a worker until it is answered. An order without an answer in its usual time is sent again on
 // another connection, with the same run number and token, so that the worker executes it once. No copy is sent once permitted
 // returns false.
-func (n *Node) sendOrder(ctx context.Context, w sched.Worker, token uint64, order any, permitted func() bool) sched.PollResult {
+func (n *Node) transmit(ctx context.Context, w sched.Worker, token uint64, order any, permitted func() bool) sched.PollResult {
 	e := n.destinations.get(n.Now(), w.ID)
 	t := &transmission{node: n, worker: w, token: token, order: order, permitted: permitted, results: make(chan copyResult, resend.MaxCopies)}
 	releaseSlot := func() {}
--- a/io/node/resend_test.go
+++ b/io/node/resend_test.go
@@ -85,7 +85,7 @@
 		n := New(Settings{Name: "e"}, Dependencies{Store: store.NewClient(&stand.Platform{}), Workers: w, Dialect: fakeDialect{}, Now: SteadyClock()})
 		ctx, cancel := context.WithTimeout(t.Context(), orderTimeout)
 		left := c.permits
-		s := n.sendOrder(ctx, sched.Worker{ID: "w"}, 1, sched.Stop{}, func() bool { left--; return left >= 0 })
+		s := n.transmit(ctx, sched.Worker{ID: "w"}, 1, sched.Stop{}, func() bool { left--; return left >= 0 })
 		cancel()
 		must.Eq(t, c.want, s.Answer)
 		must.Eq(t, c.permits, len(w.copies))
