Show how long cancellations and jobs of the intake wait at the owner

Change: a line IntakeApplied and a histogram daisysaddle_intake_seconds{kind}, from the watch's answer until the change of the state.

--- a/io/node/intake.go
+++ b/io/node/intake.go
@@ -110,8 +110,10 @@
 			sleep(c.ctx, retryDelay)
 			continue
 		}
+		arrived := c.node.Now()
 		records, progressByID := c.readIntake(c.unknownJobs(batch.Records), batch.Records)
 		c.applyIntake(c.node.Now(), records, progressByID)
+		c.observeIntake(records, c.node.Now().Sub(arrived))
 		return max(after, batch.Revision)
 	}
 	return after
@@ -125,9 +127,13 @@
 		if err == nil {
 			after = max(after, batch.Revision)
 			if len(batch.Records) > 0 {
+				arrived := c.node.Now()
 				sleep(c.ctx, intakeReadDelay)
 				if records, progressByID := c.readIntake(c.queryUnknownJobs(batch.Records), batch.Records); len(records) > 0 {
-					c.enqueue(func(now time.Time) { c.applyIntake(now, records, progressByID) })
+					c.enqueue(func(now time.Time) {
+						c.applyIntake(now, records, progressByID)
+						c.observeIntake(records, c.node.Now().Sub(arrived))
+					})
 				}
 			}
 		}
@@ -135,6 +141,22 @@
 	}
 }
 
+// observeIntake records how long jobs and cancellations waited between their arrival here and their application.
+func (c *control) observeIntake(applied []store.Record, delay time.Duration) {
+	cancels := 0
+	for _, r := range applied {
+		kind := "Job"
+		if strings.HasPrefix(r.Key, keyCancel) {
+			kind = "Cancel"
+			cancels++
+		}
+		c.node.metrics.intake.WithLabelValues(kind).Observe(delay.Seconds())
+	}
+	if len(applied) > 0 {
+		c.node.logLimited("IntakeApplied").Int("Jobs", len(applied)-cancels).Int("Cancels", cancels).Dur("Delay", delay).Uint64("Fence", c.token).Send()
+	}
+}
+
 // unknownJobs returns the ids of the jobs of the intake that the state does not hold.
 func (c *control) unknownJobs(intake []store.Record) []string {
 	var ids []string
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -19,6 +19,7 @@
 	orders       *prometheus.HistogramVec
 	store        *prometheus.HistogramVec
 	requests     *prometheus.HistogramVec
+	intake       *prometheus.HistogramVec
 	copies       *prometheus.CounterVec
 	droppedLines prometheus.Counter
 	panics       prometheus.Counter
@@ -47,11 +48,15 @@
 			Name: "daisysaddle_request_seconds", Help: "Time of callers' requests.",
 			Buckets: prometheus.ExponentialBuckets(firstBucketSeconds, bucketFactor, bucketCount),
 		}, []string{"method", "status"}),
+		intake: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "daisysaddle_intake_seconds", Help: "Time from the arrival of a job or cancellation that another entry stored until the owner applied it.",
+			Buckets: prometheus.ExponentialBuckets(firstBucketSeconds, bucketFactor, bucketCount),
+		}, []string{"kind"}),
 		copies:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "daisysaddle_order_copies_total", Help: "Orders that were sent again because their answer was overdue."}, []string{"order"}),
 		droppedLines: prometheus.NewCounter(prometheus.CounterOpts{Name: "daisysaddle_log_lines_dropped_total", Help: "Log lines that were dropped to keep their volume bounded."}),
 	}
 	m.panics = prometheus.NewCounter(prometheus.CounterOpts{Name: "daisysaddle_panics_total", Help: "Panics that were caught; it must be zero."})
-	m.registry.MustRegister(m.submits, m.decisions, m.orders, m.store, m.requests, m.copies, m.droppedLines, m.panics)
+	m.registry.MustRegister(m.submits, m.decisions, m.orders, m.store, m.requests, m.intake, m.copies, m.droppedLines, m.panics)
 	return m
 }
 
