Keep runs and ends of jobs whose records the owner has not read

What callers may see: a task that has ended runs again, or a run that is needed is stopped. Cause: an owner knows a job from its record, which it reads some time after the job was stored. When a worker's list named a job that was not read yet, its runs counted as not needed and were stopped, and its ends were acknowledged without being stored. Change: core/sched knows announced jobs. Runs of a job that is neither known nor known to be absent stay as they are, ends of it are neither applied nor acknowledged, its pool starts no inherited task meanwhile, and the plan orders its record to be read. A job without a record is withdrawn: its runs are stopped and its ends acknowledged. Why it works: nothing is concluded from a job's absence before the store was asked, and the worker lists what was not acknowledged again.

--- /dev/null
+++ b/core/sched/announce_test.go
@@ -0,0 +1,97 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// successor returns the state of an owner that knows no jobs, with one polled worker that answers polls through poll.
+func successor(t *testing.T, now time.Time) (s *State, poll func(now time.Time, running []RunStatus, ended []EndedRun)) {
+	t.Helper()
+	s = New(now, 5, simSettings)
+	s.ConfirmOwnership(now.Add(time.Hour))
+	s.SetConfig(Config{Version: 1, Queues: map[string]Queue{"q-p": {Name: "q-p", Pool: "p", Attempts: 3, Stretch: 1.6, Target: time.Second}}, Pools: map[string]Pool{"p": {Name: "p"}}})
+	s.SetWorkers(now, []Worker{{ID: "w", Pool: "p", Capacity: Size{Processors: 16000, MemoryMB: 32768}, StartedAt: now}})
+	poll = func(now time.Time, running []RunStatus, ended []EndedRun) {
+		s.PollAnswered(now, "w", PollResult{Answer: Executed, Sent: now, StartedAt: s.workers["w"].StartedAt, Running: running, Ended: ended})
+	}
+	poll(now, nil, nil)
+	for _, c := range s.Plan(now).Roster {
+		s.RosterSaved(c)
+	}
+	return s, poll
+}
+
+// earlierRun is the number of a run that an earlier owner started.
+const earlierRun = 3 << runNumberShift
+
+// TestEndsOfUnreadJobsAreNotDropped guards against running a task again whose end was listed before the owner had read its job.
+func TestEndsOfUnreadJobsAreNotDropped(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s, poll := successor(t, now)
+	ended := []EndedRun{{Number: 1, RunStatus: RunStatus{Task: TaskID{Job: "j"}, Run: earlierRun}, Reason: Done}}
+	poll(now, nil, ended)
+	plan := s.Plan(now)
+	must.Eq(t, []string{"j"}, plan.Jobs)
+	now = now.Add(minPollRetry)
+	plan = s.Plan(now)
+	must.SliceEmpty(t, plan.Jobs) // the read was ordered once
+	must.Len(t, 1, plan.Polls)
+	must.Eq(t, 0, plan.Polls[0].Acknowledged)
+	s.AddJob(now, batch("j", "p", 2, 1000, 1), Progress{}, true)
+	must.SliceEmpty(t, s.Plan(now).Starts) // until the end is listed again
+	poll(now, nil, ended)
+	plan = s.Plan(now)
+	must.Len(t, 1, plan.Starts)
+	must.Eq(t, TaskID{Job: "j", Index: 1}, plan.Starts[0].Task)
+}
+
+// TestRunsOfUnreadJobsAreNotStopped guards against stopping what an earlier owner started because its job has not been read.
+func TestRunsOfUnreadJobsAreNotStopped(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s, poll := successor(t, now)
+	running := []RunStatus{{Task: TaskID{Job: "j"}, Run: earlierRun}}
+	poll(now, running, nil)
+	must.SliceEmpty(t, s.Plan(now).Stops)
+	s.AddJob(now, batch("j", "p", 2, 1000, 1), Progress{}, true)
+	now = now.Add(scanInterval)
+	poll(now, running, nil)
+	plan := s.Plan(now)
+	must.SliceEmpty(t, plan.Stops)
+	must.Len(t, 1, plan.Starts)
+	must.Eq(t, TaskID{Job: "j", Index: 1}, plan.Starts[0].Task)
+	must.Eq(t, Size{Processors: 2000, MemoryMB: 2000}, s.workers["w"].used)
+}
+
+// TestRunsOfDeletedJobsAreStopped: runs and ends of a job that the store does not hold keep neither their capacity nor the polls busy.
+func TestRunsOfDeletedJobsAreStopped(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s, poll := successor(t, now)
+	running := []RunStatus{{Task: TaskID{Job: "gone", Index: 1}, Run: earlierRun}}
+	ended := []EndedRun{{Number: 1, RunStatus: RunStatus{Task: TaskID{Job: "gone"}, Run: earlierRun}, Reason: Done}}
+	poll(now, running, ended)
+	must.Eq(t, []string{"gone"}, s.Plan(now).Jobs)
+	s.Withdraw("gone")
+	now = now.Add(minPollRetry)
+	poll(now, running, ended)
+	plan := s.Plan(now)
+	must.SliceEmpty(t, plan.Jobs)
+	must.Len(t, 1, plan.Stops)
+	must.Len(t, 1, plan.Polls)
+	must.Eq(t, 1, plan.Polls[0].Acknowledged)
+}
+
+// TestJobCancelledBeforeItIsReadNeverStarts guards against forgetting a cancellation that arrives before the description of its job.
+func TestJobCancelledBeforeItIsReadNeverStarts(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s, _ := successor(t, now)
+	s.Announce("j")
+	must.False(t, s.Cancel(now, "j"))
+	s.AddJob(now, batch("j", "p", 2, 1000, 1), Progress{}, true)
+	plan := s.Plan(now)
+	must.SliceEmpty(t, plan.Starts)
+	must.Len(t, 1, plan.Saves)
+	must.Eq(t, Cancelled, plan.Saves[0].Progress.State)
+}
--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -62,6 +62,7 @@
 	rosterUnsettled bool          // a change of its roster record is unsettled: it may have been stored
 	nextScan        time.Time     // when its runs are next examined; zero for the next plan
 	ended           bool          // this incarnation has ended, though the platform may still list it
+	unreadEnds      bool          // it lists ended runs of announced jobs
 	recentStarts    []recentStart // starts of the last lateExecution, oldest first
 }
 
@@ -94,6 +95,7 @@
 type run struct {
 	id               TaskID
 	task             *task // nil when the task does not need this run
+	awaited          bool  // its job is announced, so whether a task needs it is not known yet
 	worker           *worker
 	number           int64
 	phase            phase
@@ -299,7 +301,7 @@
 		s.release(r)
 	}
 	if w.pollFailures > 0 {
-		w.polled = false
+		w.polled, w.unreadEnds = false, false
 	}
 }
 
@@ -330,7 +332,7 @@
 // the starts without an answer are kept, and the others are stopped, which makes the new incarnation refuse them.
 func (s *State) workerRestarted(now time.Time, w *worker, startedAt time.Time) {
 	w.StartedAt = startedAt
-	w.lastEndRead, w.lastEndAcked, w.unsavedEnds = 0, 0, nil
+	w.lastEndRead, w.lastEndAcked, w.unsavedEnds, w.unreadEnds = 0, 0, nil, false
 	clear(w.failedJobs)
 	for _, r := range w.sortedRuns() {
 		if r.phase == starting || r.phase == unconfirmed {
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -15,10 +15,11 @@
 			pools[w.Pool] = append(pools[w.Pool], w)
 		}
 	}
+	unseen := s.poolsWithUnseenRuns(now)
 	full := make(map[string][]Size) // by pool: sizes that fit on none of its workers
 	for _, st := range s.placementOrder(now) {
 		q, known := s.config.Queues[st.job.Queue]
-		if !known || st.job.inherited && s.mayHaveUnseenRuns(now, q.Pool) {
+		if !known || st.job.inherited && unseen[q.Pool] {
 			continue
 		}
 		if q.Advice != nil {
@@ -35,17 +36,15 @@
 	}
 }
 
-// mayHaveUnseenRuns reports whether the pool may have runs of an earlier owner that no poll has shown yet.
-func (s *State) mayHaveUnseenRuns(now time.Time, pool string) bool {
-	if now.After(s.predecessorRunsEnd) {
-		return false
-	}
+// poolsWithUnseenRuns returns the pools that may have runs, or ends of runs, of an earlier owner that have not been read.
+func (s *State) poolsWithUnseenRuns(now time.Time) map[string]bool {
+	pools := make(map[string]bool)
 	for _, w := range s.workers {
-		if w.Pool == pool && !w.polled && !now.After(w.leaseEnd) {
-			return true
+		if w.unreadEnds || !w.polled && !now.After(w.leaseEnd) && !now.After(s.predecessorRunsEnd) {
+			pools[w.Pool] = true
 		}
 	}
-	return false
+	return pools
 }
 
 // placementOrder returns the stages that have tasks to place, the most urgent first, and removes the others from
--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -47,6 +47,7 @@
 	for _, w := range workers {
 		s.planPoll(now, w, &o)
 	}
+	o.Jobs = s.takeUnread()
 	s.planRoster(now, workers, &o)
 	s.planSaves(&o)
 	o.Wake = now.Add(planInterval)
@@ -98,6 +99,8 @@
 func (r *run) stopReason() string {
 	t := r.task
 	switch {
+	case r.awaited:
+		return ""
 	case t == nil || t.run != r:
 		return "NotNeeded"
 	case t.done:
@@ -126,7 +129,7 @@
 			w.nextPoll = w.lastPoll.Add(unsavedPollInterval)
 			return
 		}
-	case len(w.runs) == 0 && w.lastEndAcked == w.lastEndRead:
+	case len(w.runs) == 0 && w.lastEndAcked == w.lastEndRead && !w.unreadEnds:
 		return
 	case len(w.runs) > 0:
 		poll.Wait = pollWait
--- a/core/sched/poll.go
+++ b/core/sched/poll.go
@@ -55,11 +55,13 @@
 	}
 	w.pollFailures, w.polled, w.nextPoll, w.lastPoll = 0, true, now, result.Sent
 	w.clock, w.clockAt = result.Clock, now
-	for _, e := range result.Ended {
-		if e.Number > w.lastEndRead {
-			w.lastEndRead = e.Number
-			s.handleEnd(now, w, e)
-		}
+	hadUnreadEnds := w.unreadEnds
+	w.unreadEnds = !s.readEnds(now, w, result.Ended)
+	switch {
+	case w.unreadEnds:
+		w.nextPoll = now.Add(minPollRetry)
+	case hadUnreadEnds:
+		s.placementChanged = true
 	}
 	listed := make(map[TaskID]bool, len(result.Running))
 	for _, status := range result.Running {
@@ -74,6 +76,25 @@
 	}
 }
 
+// readEnds handles the ended runs that have not been read. It stops at the first one of an announced job and reports whether it
+// read all; the worker lists the others again until they are acknowledged.
+func (s *State) readEnds(now time.Time, w *worker, ended []EndedRun) bool {
+	for _, e := range ended {
+		if e.Number <= w.lastEndRead {
+			continue
+		}
+		if s.jobs[e.Task.Job] == nil {
+			s.Announce(e.Task.Job)
+			if s.Awaits(e.Task.Job) {
+				return false
+			}
+		}
+		w.lastEndRead = e.Number
+		s.handleEnd(now, w, e)
+	}
+	return true
+}
+
 // confirmedBefore reports whether the worker confirmed the start or the stop of the run before the given time,
 // so that a poll sent then lists the run if it exists.
 func (r *run) confirmedBefore(sent time.Time) bool {
@@ -109,24 +130,37 @@
 
 // adopt adds a run that a worker lists and this owner does not know.
 func (s *State) adopt(now time.Time, w *worker, status RunStatus) *run {
-	size, known := s.sizeOf(status.Task)
-	if !known {
-		size = w.Capacity // a run of unknown size reserves the whole worker
-	}
-	r := &run{id: status.Task, number: status.Run, phase: running, size: size, since: now, confirmedAt: now, pace: fullPercent}
-	t := s.find(status.Task)
-	if t != nil && !t.done && t.run == nil && !t.stage.job.state.Final() {
-		r.task, t.run = t, r
-		s.markStarted(t.stage.job)
-		if t.stage.step.Gang {
-			t.stage.gangRun = max(t.stage.gangRun, status.Run)
-		}
-	}
+	// A run of unknown size reserves the whole worker.
+	r := &run{id: status.Task, number: status.Run, phase: running, size: w.Capacity, since: now, confirmedAt: now, pace: fullPercent}
 	s.reserve(w, r)
+	if s.jobs[r.id.Job] == nil {
+		s.awaitRun(r)
+	} else {
+		s.attach(r)
+	}
 	s.logDecision("Adopted", status.Task, w.ID, "RunsThere", status.Run)
 	return r
 }
 
+// attach makes an adopted run that of its task, if the task needs one, and reserves what the task requests.
+func (s *State) attach(r *run) {
+	if size, known := s.sizeOf(r.id); known {
+		r.worker.used = r.worker.used.Sub(r.size).Add(size)
+		r.size = size
+	}
+	r.worker.requestScan()
+	t := s.find(r.id)
+	if t == nil || t.done || t.run != nil || t.stage.job.state.Final() {
+		return
+	}
+	r.task, t.run = t, r
+	t.lastRun = max(t.lastRun, r.number)
+	s.markStarted(t.stage.job)
+	if t.stage.step.Gang {
+		t.stage.gangRun = max(t.stage.gangRun, r.number)
+	}
+}
+
 // handleEnd handles an ended run that a worker lists.
 func (s *State) handleEnd(now time.Time, w *worker, e EndedRun) {
 	t := s.find(e.Task)
@@ -300,7 +334,7 @@
 
 // releaseAll releases all runs on a worker whose incarnation has ended.
 func (s *State) releaseAll(now time.Time, w *worker) {
-	w.polled, w.listed = false, false
+	w.polled, w.listed, w.unreadEnds = false, false, false
 	w.leaseEnd = now
 	w.nextPoll = now.Add(maxPollRetry)
 	for _, r := range w.sortedRuns() {
--- a/core/sched/sizing.go
+++ b/core/sched/sizing.go
@@ -188,10 +188,7 @@
 			}
 		}
 	}
-	blocked := make(map[string]bool)
-	for name := range s.demands {
-		blocked[name] = s.mayHaveUnseenRuns(now, name)
-	}
+	blocked := s.poolsWithUnseenRuns(now)
 	for name, q := range s.queues {
 		pool := s.config.Queues[name].Pool
 		l := s.demandOf(pool)
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -24,6 +25,8 @@
 	// scheduled holds the scheduled jobs that have occurrences to come.
 	scheduled       map[string]*job
 	longRunningJobs map[string]*job          // jobs with long-running steps
+	announced       map[string]*announcement // accepted jobs whose descriptions are not known, by id
+	unread          []string                 // those that no plan has ordered to be read
 	demands         map[string]*poolDemand   // demand of each pool
 	moves           map[string]*move         // by machine
 	executedOrders  map[string]executedOrder // by machine: executed orders whose effect no machine list has shown
@@ -134,7 +137,7 @@
 		token: token, settings: settings,
 		jobs: make(map[string]*job), queues: make(map[string]*queue), workers: make(map[string]*worker),
 		waves: make(map[int64]*wave), storedWaves: make(map[int64]WaveStatus), machines: make(map[string]Machine), dirty: make(map[string]*job),
-		demands: make(map[string]*poolDemand), moves: make(map[string]*move), executedOrders: make(map[string]executedOrder), runStats: make(map[string]*queueStats), refusedMoves: make(map[moveTarget]bool), scheduled: make(map[string]*job), longRunningJobs: make(map[string]*job), promisedRoom: make(map[string]Size),
+		demands: make(map[string]*poolDemand), moves: make(map[string]*move), executedOrders: make(map[string]executedOrder), runStats: make(map[string]*queueStats), refusedMoves: make(map[moveTarget]bool), scheduled: make(map[string]*job), longRunningJobs: make(map[string]*job), announced: make(map[string]*announcement), promisedRoom: make(map[string]Size),
 		predecessorRunsEnd: now.Add(maxOwnerOverlap + maxLeaseTime(settings.runLease())),
 	}
 }
@@ -189,6 +192,7 @@
 	}
 	j.started = len(p.Occurrences) > 0
 	if j.state.Final() {
+		s.endAnnouncement(j.ID)
 		return
 	}
 	if j.oneOff() && !j.started {
@@ -202,6 +206,9 @@
 		s.longRunningJobs[j.ID] = j
 	}
 	s.recordArrival(now, j)
+	if s.endAnnouncement(j.ID) {
+		s.endJob(now, j, Cancelled)
+	}
 }
 
 // longRunning reports whether a step of the job runs until the job is cancelled.
@@ -360,10 +367,13 @@
 	}
 }
 
-// Cancel ends a job and reports whether the job is known.
+// Cancel ends a job and reports whether the job is known. A job that is only announced ends when it is added.
 func (s *State) Cancel(now time.Time, id string) bool {
 	j := s.jobs[id]
 	if j == nil {
+		if a := s.announced[id]; a != nil {
+			a.cancelled = true
+		}
 		return false
 	}
 	s.endJob(now, j, Cancelled)
@@ -484,6 +494,7 @@
 
 // Forget removes the jobs that ended more than Settings.KeepEnded ago and returns their ids in order.
 func (s *State) Forget(now time.Time) []string {
+	maps.DeleteFunc(s.announced, func(_ string, a *announcement) bool { return a.absent })
 	var gone []string
 	for id, j := range s.jobs {
 		if j.visibleState.Final() && now.Sub(j.endedAt) > s.settings.KeepEnded {
--- a/io/node/intake.go
+++ b/io/node/intake.go
@@ -141,6 +141,71 @@
 	}
 }
 
+// readJobs reads announced jobs and adds them to the state. It reads one group of jobs at a time, so that the rate of its reads
+// stays bounded.
+func (c *control) readJobs(ids []string) {
+	c.unread = append(c.unread, ids...)
+	if c.readingJobs || len(c.unread) == 0 {
+		return
+	}
+	ids, c.unread, c.readingJobs = c.unread, nil, true
+	began := c.node.Now()
+	c.group.Go(func() error {
+		records := c.readAll(append(keysOf(keyJobs, ids), keysOf(keyProgress, ids)...))
+		if c.ctx.Err() != nil {
+			return nil
+		}
+		jobs, progress := records[:len(ids)], records[len(ids):]
+		c.enqueue(func(now time.Time) {
+			for i, id := range ids {
+				c.addReadJob(now, id, jobs[i], progress[i])
+			}
+			c.node.logLimited("JobsRead").Int("Jobs", len(ids)).Dur("Took", now.Sub(began)).Uint64("Fence", c.token).Send()
+			c.readingJobs = false
+			c.readJobs(nil)
+		})
+		return nil
+	})
+}
+
+// addReadJob adds an announced job to the state; its progress record exists if the job has run but its records are not deleted yet.
+func (c *control) addReadJob(now time.Time, id string, job, progress store.Record) {
+	var p sched.Progress
+	if progress.Revision > 0 {
+		var err error
+		if p, err = sched.DecodeProgress(progress.Value); err != nil {
+			c.node.log("RecordSkipped").Str("Key", progress.Key).Err(err).Send()
+			c.state.Withdraw(id)
+			return
+		}
+	}
+	c.addJob(now, id, job, p)
+}
+
+// addJob adds a job to the state from its stored record. The job counts as inherited from an earlier owner: one that has not
+// noticed its replacement may have started its tasks on a worker that this owner has not polled yet.
+func (c *control) addJob(now time.Time, id string, record store.Record, progress sched.Progress) {
+	if record.Revision == 0 {
+		c.state.Withdraw(id)
+		return
+	}
+	j, err := sched.DecodeJob(record.Value)
+	if err != nil {
+		c.node.log("RecordSkipped").Str("Key", record.Key).Err(err).Send()
+		c.state.Withdraw(id)
+		return
+	}
+	c.state.AddJob(now, j, progress, true)
+}
+
+func keysOf(prefix string, ids []string) []string {
+	keys := make([]string, len(ids))
+	for i, id := range ids {
+		keys[i] = prefix + id
+	}
+	return keys
+}
+
 // observeIntake records how long jobs and cancellations waited between their arrival here and their application.
 func (c *control) observeIntake(applied []store.Record, delay time.Duration) {
 	cancels := 0
