Hold back only the acknowledgement of unread jobs' ends

What callers may see: a task of a known job that has ended runs again (TWICE). Cause: reading a worker's ends stopped at the first one of an unread job, so runs whose ends came behind it counted as missing. Change: such an end is kept with the announcement and applied when the job is added; only its acknowledgement waits. Also from the review: a machine with runs of unread jobs is not taken down, their unknown size counts as no demand, a name that is stored after its job was found absent is read, a cancellation of an unread job takes effect only if it is stored, and progress is read before the record, since both are deleted together (a job deleted in between came back as pending). Why it works: an end is either applied or kept, in the order in which it was listed, and nothing behind it is delayed.

--- a/core/sched/admit.go
+++ b/core/sched/admit.go
@@ -87,7 +87,7 @@
 // waitingWork returns the processor-seconds of the waiting batch tasks of all queues that share a pool.
 func (s *State) waitingWork(now time.Time, pool string) float64 {
 	work := 0.0
-	blocked := s.poolsWithUnseenRuns(now)[pool]
+	blocked := s.mayHaveUnseenRuns(now, pool)
 	for name, other := range s.queues {
 		if s.config.Queues[name].Pool != pool {
 			continue
--- a/core/sched/announce.go
+++ b/core/sched/announce.go
@@ -1,77 +1,106 @@
 package sched
 
-// announcement is an accepted job whose description the owner has not read yet.
+import "time"
+
+// announcement is an accepted job whose record the owner has not read yet.
 type announcement struct {
-	cancelled bool   // the job was cancelled meanwhile
-	absent    bool   // the store holds no such job
+	cancelled bool   // a cancellation of the job is stored
+	absent    bool   // the store held no such job when it was read
 	runs      []*run // its runs that workers list
+	ends      []awaitedEnd
+}
+
+// awaitedEnd is an ended run of a job whose record has not been read yet.
+type awaitedEnd struct {
+	worker  *worker
+	end     EndedRun
+	unsaved *unsavedEnd
 }
 
-// Announce records that a job was accepted. The next plan orders its description to be read unless the job is known.
+// Announce records that a job was stored. The next plan orders its record to be read unless the job is known.
 //
-// A job is announced before it is added, so that what is known of it without its description takes effect at once: its
-// cancellation, and that its runs and ended runs must not be dropped.
+// A job is announced before it is added, so that what needs no record takes effect at once: its cancellation, and that its
+// runs and ended runs are kept.
 func (s *State) Announce(id string) {
-	if s.jobs[id] == nil && s.announced[id] == nil {
-		s.announced[id] = &announcement{}
-		s.unread = append(s.unread, id)
+	if a := s.announced[id]; a != nil && a.absent {
+		delete(s.announced, id)
+	}
+	if s.jobs[id] == nil {
+		s.await(id)
+	}
+}
+
+// await announces a job that a worker names, unless its record was found absent, and reports whether its record is awaited.
+func (s *State) await(id string) bool {
+	a := s.announced[id]
+	if a == nil {
+		a = &announcement{}
+		s.announced[id] = a
+		s.toRead = append(s.toRead, id)
 	}
+	return !a.absent
 }
 
-// Awaits reports whether a job was announced and its description is not known yet.
+// Awaits reports whether a job was announced and its record has not been read yet.
 func (s *State) Awaits(id string) bool {
 	a := s.announced[id]
 	return a != nil && !a.absent
 }
 
-// Withdraw records that the store holds no job with an announced id, so that its runs are stopped.
+// CancelStored applies a cancellation that is stored. A job that is only announced ends when it is added.
+func (s *State) CancelStored(now time.Time, id string) {
+	if a := s.announced[id]; a != nil {
+		a.cancelled = true
+		return
+	}
+	s.Cancel(now, id)
+}
+
+// Withdraw records that the store holds no job with an announced id. Its runs are stopped and its ends may be acknowledged.
 func (s *State) Withdraw(id string) {
 	a := s.announced[id]
 	if a == nil {
 		return
 	}
-	a.absent = true
 	for _, r := range a.runs {
 		r.awaited = false
 		r.worker.requestScan()
 	}
-	a.runs = nil
-}
-
-// awaitRun keeps a run of a job that is not known until its description has been read.
-func (s *State) awaitRun(r *run) {
-	s.Announce(r.id.Job)
-	if a := s.announced[r.id.Job]; a != nil && !a.absent {
-		r.awaited = true
-		a.runs = append(a.runs, r)
+	for _, e := range a.ends {
+		e.unsaved.job = &job{} // nothing is to be saved
 	}
+	s.announced[id] = &announcement{absent: true}
 }
 
-// endAnnouncement removes the announcement of a job that was added, attaches its runs to their tasks, and reports whether the job
-// was cancelled meanwhile.
-func (s *State) endAnnouncement(id string) bool {
-	a := s.announced[id]
+// endAnnouncement removes the announcement of a job that was added, and applies to the job what was learned of it meanwhile.
+func (s *State) endAnnouncement(now time.Time, j *job) {
+	a := s.announced[j.ID]
 	if a == nil {
-		return false
+		return
 	}
-	delete(s.announced, id)
+	delete(s.announced, j.ID)
 	for _, r := range a.runs {
 		r.awaited = false
 		if r.worker.runs[r.id] == r {
 			s.attach(r)
 		}
 	}
-	return a.cancelled
+	for _, e := range a.ends {
+		s.applyJobEnd(now, e.worker, j, e.end, e.unsaved)
+	}
+	if a.cancelled {
+		s.endJob(now, j, Cancelled)
+	}
 }
 
-// takeUnread returns the announced jobs whose descriptions no plan has ordered to be read.
+// takeUnread returns the announced jobs whose records no plan has ordered to be read.
 func (s *State) takeUnread() []string {
 	var ids []string
-	for _, id := range s.unread {
+	for _, id := range s.toRead {
 		if s.Awaits(id) {
 			ids = append(ids, id)
 		}
 	}
-	s.unread = nil
+	s.toRead = nil
 	return ids
 }
--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -51,7 +51,7 @@
 	leaseEnd           time.Time       // all leases that were sent to the worker have ended by then
 	lastEndRead        int64           // highest number of an ended run that was read
 	lastEndAcked       int64           // highest number of an ended run that was acknowledged
-	unsavedEnds        []unsavedEnd    // ended runs that are not acknowledged yet
+	unsavedEnds        []*unsavedEnd   // ended runs that are not acknowledged yet
 	pausedUntil        time.Time       // no task is started on it before then
 	failedJobs         map[string]bool // jobs of which a run failed there since the last success
 	cordoned           bool            // its machine is chosen for maintenance or a move; it takes no new tasks
@@ -62,7 +62,6 @@
 	rosterUnsettled bool          // a change of its roster record is unsettled: it may have been stored
 	nextScan        time.Time     // when its runs are next examined; zero for the next plan
 	ended           bool          // this incarnation has ended, though the platform may still list it
-	unreadEnds      bool          // it lists ended runs of announced jobs
 	recentStarts    []recentStart // starts of the last lateExecution, oldest first
 }
 
@@ -77,7 +76,7 @@
 // unsavedEnd is an ended run whose effect on its job must be durable before it is acknowledged.
 type unsavedEnd struct {
 	number  int64
-	job     *job
+	job     *job // nil while the job's record has not been read
 	version uint64
 }
 
@@ -95,7 +94,7 @@
 type run struct {
 	id               TaskID
 	task             *task // nil when the task does not need this run
-	awaited          bool  // its job is announced, so whether a task needs it is not known yet
+	awaited          bool  // its job's record has not been read, so whether a task needs it is not known
 	worker           *worker
 	number           int64
 	phase            phase
@@ -301,7 +300,7 @@
 		s.release(r)
 	}
 	if w.pollFailures > 0 {
-		w.polled, w.unreadEnds = false, false
+		w.polled = false
 	}
 }
 
@@ -332,7 +331,7 @@
 // the starts without an answer are kept, and the others are stopped, which makes the new incarnation refuse them.
 func (s *State) workerRestarted(now time.Time, w *worker, startedAt time.Time) {
 	w.StartedAt = startedAt
-	w.lastEndRead, w.lastEndAcked, w.unsavedEnds, w.unreadEnds = 0, 0, nil, false
+	w.lastEndRead, w.lastEndAcked, w.unsavedEnds = 0, 0, nil
 	clear(w.failedJobs)
 	for _, r := range w.sortedRuns() {
 		if r.phase == starting || r.phase == unconfirmed {
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -85,7 +85,7 @@
 	Waves          []WaveStatus
 	AdviceRequests []AdviceRequest
 	Roster         []RosterChange
-	Jobs           []string // ids of announced jobs whose descriptions are to be read
+	JobReads       []string // ids of announced jobs whose records are to be read
 	Decisions      []Decision
 	ListMachines   bool      // the list of machines is to be read again
 	Wake           time.Time // when to plan again if no event comes earlier
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -15,11 +15,10 @@
 			pools[w.Pool] = append(pools[w.Pool], w)
 		}
 	}
-	unseen := s.poolsWithUnseenRuns(now)
 	full := make(map[string][]Size) // by pool: sizes that fit on none of its workers
 	for _, st := range s.placementOrder(now) {
 		q, known := s.config.Queues[st.job.Queue]
-		if !known || st.job.inherited && unseen[q.Pool] {
+		if !known || st.job.inherited && s.mayHaveUnseenRuns(now, q.Pool) {
 			continue
 		}
 		if q.Advice != nil {
@@ -36,15 +35,17 @@
 	}
 }
 
-// poolsWithUnseenRuns returns the pools that may have runs, or ends of runs, of an earlier owner that have not been read.
-func (s *State) poolsWithUnseenRuns(now time.Time) map[string]bool {
-	pools := make(map[string]bool)
+// mayHaveUnseenRuns reports whether the pool may have runs of an earlier owner that no poll has shown yet.
+func (s *State) mayHaveUnseenRuns(now time.Time, pool string) bool {
+	if now.After(s.predecessorRunsEnd) {
+		return false
+	}
 	for _, w := range s.workers {
-		if w.unreadEnds || !w.polled && !now.After(w.leaseEnd) && !now.After(s.predecessorRunsEnd) {
-			pools[w.Pool] = true
+		if w.Pool == pool && !w.polled && !now.After(w.leaseEnd) {
+			return true
 		}
 	}
-	return pools
+	return false
 }
 
 // placementOrder returns the stages that have tasks to place, the most urgent first, and removes the others from
--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -47,7 +47,7 @@
 	for _, w := range workers {
 		s.planPoll(now, w, &o)
 	}
-	o.Jobs = s.takeUnread()
+	o.JobReads = s.takeUnread()
 	s.planRoster(now, workers, &o)
 	s.planSaves(&o)
 	o.Wake = now.Add(planInterval)
@@ -129,7 +129,7 @@
 			w.nextPoll = w.lastPoll.Add(unsavedPollInterval)
 			return
 		}
-	case len(w.runs) == 0 && w.lastEndAcked == w.lastEndRead && !w.unreadEnds:
+	case len(w.runs) == 0 && w.lastEndAcked == w.lastEndRead:
 		return
 	case len(w.runs) > 0:
 		poll.Wait = pollWait
--- a/core/sched/poll.go
+++ b/core/sched/poll.go
@@ -55,13 +55,11 @@
 	}
 	w.pollFailures, w.polled, w.nextPoll, w.lastPoll = 0, true, now, result.Sent
 	w.clock, w.clockAt = result.Clock, now
-	hadUnreadEnds := w.unreadEnds
-	w.unreadEnds = !s.readEnds(now, w, result.Ended)
-	switch {
-	case w.unreadEnds:
-		w.nextPoll = now.Add(minPollRetry)
-	case hadUnreadEnds:
-		s.placementChanged = true
+	for _, e := range result.Ended {
+		if e.Number > w.lastEndRead {
+			w.lastEndRead = e.Number
+			s.handleEnd(now, w, e)
+		}
 	}
 	listed := make(map[TaskID]bool, len(result.Running))
 	for _, status := range result.Running {
@@ -76,25 +74,6 @@
 	}
 }
 
-// readEnds handles the ended runs that have not been read. It stops at the first one of an announced job and reports whether it
-// read all; the worker lists the others again until they are acknowledged.
-func (s *State) readEnds(now time.Time, w *worker, ended []EndedRun) bool {
-	for _, e := range ended {
-		if e.Number <= w.lastEndRead {
-			continue
-		}
-		if s.jobs[e.Task.Job] == nil {
-			s.Announce(e.Task.Job)
-			if s.Awaits(e.Task.Job) {
-				return false
-			}
-		}
-		w.lastEndRead = e.Number
-		s.handleEnd(now, w, e)
-	}
-	return true
-}
-
 // confirmedBefore reports whether the worker confirmed the start or the stop of the run before the given time,
 // so that a poll sent then lists the run if it exists.
 func (r *run) confirmedBefore(sent time.Time) bool {
@@ -133,8 +112,10 @@
 	// A run of unknown size reserves the whole worker.
 	r := &run{id: status.Task, number: status.Run, phase: running, size: w.Capacity, since: now, confirmedAt: now, pace: fullPercent}
 	s.reserve(w, r)
-	if s.jobs[r.id.Job] == nil {
-		s.awaitRun(r)
+	if s.jobs[r.id.Job] == nil && s.await(r.id.Job) {
+		r.awaited = true
+		a := s.announced[r.id.Job]
+		a.runs = append(a.runs, r)
 	} else {
 		s.attach(r)
 	}
@@ -163,10 +144,17 @@
 
 // handleEnd handles an ended run that a worker lists.
 func (s *State) handleEnd(now time.Time, w *worker, e EndedRun) {
-	t := s.find(e.Task)
 	j := s.jobs[e.Task.Job]
-	if t != nil {
-		s.applyEnd(now, w, t, e)
+	switch {
+	case j != nil:
+		unsaved := &unsavedEnd{number: e.Number}
+		w.unsavedEnds = append(w.unsavedEnds, unsaved)
+		s.applyJobEnd(now, w, j, e, unsaved)
+	case s.await(e.Task.Job):
+		unsaved := &unsavedEnd{number: e.Number}
+		w.unsavedEnds = append(w.unsavedEnds, unsaved)
+		a := s.announced[e.Task.Job]
+		a.ends = append(a.ends, awaitedEnd{w, e, unsaved})
 	}
 	if r := w.runs[e.Task]; r != nil && r.number <= e.Run {
 		if e.Saved != "" {
@@ -174,9 +162,14 @@
 		}
 		s.release(r)
 	}
-	if j != nil {
-		w.unsavedEnds = append(w.unsavedEnds, unsavedEnd{e.Number, j, j.version})
+}
+
+// applyJobEnd applies an ended run of a known job, which is stored with the job's version in unsaved.
+func (s *State) applyJobEnd(now time.Time, w *worker, j *job, e EndedRun, unsaved *unsavedEnd) {
+	if t := s.find(e.Task); t != nil {
+		s.applyEnd(now, w, t, e)
 	}
+	unsaved.job, unsaved.version = j, j.version
 }
 
 // applyEnd applies the reason for which a run ended to its task and gang.
@@ -334,7 +327,7 @@
 
 // releaseAll releases all runs on a worker whose incarnation has ended.
 func (s *State) releaseAll(now time.Time, w *worker) {
-	w.polled, w.listed, w.unreadEnds = false, false, false
+	w.polled, w.listed = false, false
 	w.leaseEnd = now
 	w.nextPoll = now.Add(maxPollRetry)
 	for _, r := range w.sortedRuns() {
@@ -345,7 +338,7 @@
 
 // acknowledgeable returns the highest number up to which the worker's ended runs are stored.
 func (w *worker) acknowledgeable() int64 {
-	for len(w.unsavedEnds) > 0 && w.unsavedEnds[0].job.savedVersion >= w.unsavedEnds[0].version {
+	for len(w.unsavedEnds) > 0 && w.unsavedEnds[0].saved() {
 		w.unsavedEnds = w.unsavedEnds[1:]
 	}
 	if len(w.unsavedEnds) > 0 {
@@ -353,3 +346,6 @@
 	}
 	return w.lastEndRead
 }
+
+// saved reports whether the effect of the end is durable.
+func (u *unsavedEnd) saved() bool { return u.job != nil && u.job.savedVersion >= u.version }
--- a/core/sched/sizing.go
+++ b/core/sched/sizing.go
@@ -182,13 +182,19 @@
 	for _, w := range s.workers {
 		l := s.demandOf(w.Pool)
 		for _, r := range w.runs {
+			if r.awaited {
+				continue // its size is not known
+			}
 			l.inUse = l.inUse.addScaled(r.size.vector(), 1)
 			if r.task != nil && r.task.stage.step.LongRunning {
 				l.longRunning = l.longRunning.addScaled(r.size.vector(), 1)
 			}
 		}
 	}
-	blocked := s.poolsWithUnseenRuns(now)
+	blocked := make(map[string]bool)
+	for name := range s.demands {
+		blocked[name] = s.mayHaveUnseenRuns(now, name)
+	}
 	for name, q := range s.queues {
 		pool := s.config.Queues[name].Pool
 		l := s.demandOf(pool)
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -25,8 +25,8 @@
 	// scheduled holds the scheduled jobs that have occurrences to come.
 	scheduled       map[string]*job
 	longRunningJobs map[string]*job          // jobs with long-running steps
-	announced       map[string]*announcement // accepted jobs whose descriptions are not known, by id
-	unread          []string                 // those that no plan has ordered to be read
+	announced       map[string]*announcement // stored jobs whose records have not been read, by id
+	toRead          []string                 // ids of those whose reading no plan has ordered
 	demands         map[string]*poolDemand   // demand of each pool
 	moves           map[string]*move         // by machine
 	executedOrders  map[string]executedOrder // by machine: executed orders whose effect no machine list has shown
@@ -192,7 +192,7 @@
 	}
 	j.started = len(p.Occurrences) > 0
 	if j.state.Final() {
-		s.endAnnouncement(j.ID)
+		s.endAnnouncement(now, j)
 		return
 	}
 	if j.oneOff() && !j.started {
@@ -206,9 +206,7 @@
 		s.longRunningJobs[j.ID] = j
 	}
 	s.recordArrival(now, j)
-	if s.endAnnouncement(j.ID) {
-		s.endJob(now, j, Cancelled)
-	}
+	s.endAnnouncement(now, j)
 }
 
 // longRunning reports whether a step of the job runs until the job is cancelled.
@@ -367,13 +365,10 @@
 	}
 }
 
-// Cancel ends a job and reports whether the job is known. A job that is only announced ends when it is added.
+// Cancel ends a job and reports whether the job is known.
 func (s *State) Cancel(now time.Time, id string) bool {
 	j := s.jobs[id]
 	if j == nil {
-		if a := s.announced[id]; a != nil {
-			a.cancelled = true
-		}
 		return false
 	}
 	s.endJob(now, j, Cancelled)
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -403,6 +403,8 @@
 	taken := make(map[*stage]int)
 	for _, r := range w.sortedRuns() {
 		switch {
+		case r.awaited:
+			return "RunsUnread"
 		case r.task == nil || r.task.stage.job.state.Final():
 		case r.task.stage.step.LongRunning:
 			taken[r.task.stage]++
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -29,7 +29,7 @@
 	group       errgroup.Group
 	revisions   map[string]uint64    // of the records that the owner writes, by key
 	admitted    map[string]admission // jobs that other entries may be storing, by id
-	unread      []string             // announced jobs to be read next
+	jobsToRead  []string             // announced jobs to be read next
 	readingJobs bool                 // announced jobs are being read
 	listing     bool                 // a request for the list of machines is in progress
 	listAgain   bool                 // another one must follow it
@@ -78,6 +78,7 @@
 func (c *control) run() {
 	n := c.node
 	list := newWorkerList(n.Dialect, func(r store.Record, err error) { n.log("RecordSkipped").Str("Key", r.Key).Err(err).Send() })
+	began := n.Now()
 	intakeRevision, err := c.load(list)
 	if err != nil {
 		c.quit(err)
@@ -95,6 +96,7 @@
 	}
 	n.mu.Unlock()
 	c.ready.Store(true)
+	n.log("OwnerReady").Dur("Took", n.Now().Sub(began)).Uint64("Fence", c.token).Send()
 	c.group.Go(func() error { c.followWorkers(list); return nil })
 	c.group.Go(func() error { c.followIntake(intakeRevision); return nil })
 	c.group.Go(func() error { c.carriers.refreshPeriodically(); return nil })
--- a/io/node/dispatch.go
+++ b/io/node/dispatch.go
@@ -31,7 +31,7 @@
 		c.sendToWorker(poll.Worker, poll, poll.Wait+pollTimeoutMargin, func(now time.Time, s sched.PollResult) { c.state.PollAnswered(now, poll.Worker, s) })
 	}
 	c.carriers.flush(n.Now())
-	c.readJobs(o.Jobs)
+	c.readJobs(o.JobReads)
 	for _, save := range o.Saves {
 		c.save(save)
 	}
--- a/io/node/intake.go
+++ b/io/node/intake.go
@@ -99,7 +99,7 @@
 		c.state.Announce(strings.TrimPrefix(r.Key, keyIntake))
 	}
 	for _, id := range cancels {
-		c.state.Cancel(now, id)
+		c.state.CancelStored(now, id)
 	}
 }
 
@@ -157,18 +157,18 @@
 // readJobs reads announced jobs and adds them to the state. It reads one group of jobs at a time, so that the rate of its reads
 // stays bounded.
 func (c *control) readJobs(ids []string) {
-	c.unread = append(c.unread, ids...)
-	if c.readingJobs || len(c.unread) == 0 {
+	c.jobsToRead = append(c.jobsToRead, ids...)
+	if c.readingJobs || len(c.jobsToRead) == 0 {
 		return
 	}
-	ids, c.unread, c.readingJobs = c.unread, nil, true
+	ids, c.jobsToRead, c.readingJobs = c.jobsToRead, nil, true
 	began := c.node.Now()
 	c.group.Go(func() error {
-		records := c.readAll(append(keysOf(keyJobs, ids), keysOf(keyProgress, ids)...))
+		progress := c.readAll(keysOf(keyProgress, ids)) // first, because both are deleted together
+		jobs := c.readAll(keysOf(keyJobs, ids))
 		if c.ctx.Err() != nil {
 			return nil
 		}
-		jobs, progress := records[:len(ids)], records[len(ids):]
 		c.enqueue(func(now time.Time) {
 			for i, id := range ids {
 				c.addReadJob(now, id, jobs[i], progress[i])
