Read jobs at the store's rate, and leave calls for renewals and saves

What callers saw: a new owner gave no orders for 1.5 to 6 s after its claim, and its lease renewals and saves waited meanwhile. Why it works: reads no longer queue in the client, so other calls find tokens; the granted rate was there, unused.

--- a/io/node/intake.go
+++ b/io/node/intake.go
@@ -20,16 +20,18 @@
 )
 
 const (
-	maxParallelReads = 256  // keeps readsPerSecond also when a call takes 40 times its usual 4 ms
-	readsPerSecond   = 1500 // of the 2000 that the store grants to all entries together
+	maxParallelReads = 256  // keeps most of the rate also when a call takes 40 times its usual 4 ms
+	bulkReadShare    = 0.75 // of the client's calls; the others are for renewals, saves and cancellations, which must not wait
+	bulkReadBurst    = 32   // reads that begin together
 )
 
-// readAll reads keys in parallel and returns their records in the same order; they are empty once the ownership has ended.
+// readAll reads keys in parallel and returns their records in the same order; they are empty once the ownership has ended. It uses
+// a part of the client's rate only, since calls beyond the rate queue up and would delay all later ones.
 func (c *control) readAll(keys []string) []store.Record {
 	records := make([]store.Record, len(keys))
 	var group errgroup.Group
 	group.SetLimit(maxParallelReads)
-	limiter := rate.NewLimiter(readsPerSecond, maxParallelReads)
+	limiter := rate.NewLimiter(rate.Limit(bulkReadShare*c.node.Store.Rate()), bulkReadBurst)
 	for i, key := range keys {
 		group.Go(func() error {
 			_ = limiter.Wait(c.ctx) // the read fails if the ownership has ended
--- a/io/node/intake_test.go
+++ b/io/node/intake_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -176,3 +177,25 @@
 	c.state.Announce("j")
 	must.Eq(t, outcomeAdmitted, c.checkRoom(n.Now(), job("j", 1)).Outcome)
 }
+
+// TestRenewalDoesNotWaitForJobReads guards against losing the lease while a new owner reads many jobs at its client's rate.
+func TestRenewalDoesNotWaitForJobReads(t *testing.T) {
+	p := &stand.Platform{Unlimited: true}
+	n := New(Settings{Bounds: sched.Settings{}}, Dependencies{Store: store.NewClient(p), Dialect: fakeDialect{}, Now: SteadyClock()})
+	c := n.newControl(t.Context(), ownership{revision: 5})
+	lease, err := n.Store.Grant(t.Context(), time.Minute)
+	must.NoError(t, err)
+	keys := make([]string, 800) // two seconds of reads
+	for i := range keys {
+		keys[i] = keyJobs + strconv.Itoa(i)
+	}
+	c.group.Go(func() error { c.readAll(keys); return nil })
+	for range 3 {
+		time.Sleep(renewInterval)
+		began := time.Now()
+		must.NoError(t, n.Store.Renew(t.Context(), lease))
+		must.Less(t, renewInterval/2, time.Since(began))
+	}
+	c.quit(errStopping)
+	must.NoError(t, c.group.Wait())
+}
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -82,6 +82,12 @@
 	c.limiter.SetLimit(rate.Limit(deploymentCallRate / float64(entries)))
 }
 
+// SetRate limits the client to a number of calls per second.
+func (c *Client) SetRate(callsPerSecond float64) { c.limiter.SetLimit(rate.Limit(callsPerSecond)) }
+
+// Rate returns the number of calls per second to which the client is limited.
+func (c *Client) Rate() float64 { return float64(c.limiter.Limit()) }
+
 // Get reads a key. The record's value is still in its envelope; see Payload.
 func (c *Client) Get(ctx context.Context, key string, p Priority) (Record, error) {
 	var record Record
