Let a repeated attempt of an unread job wait for its record

Cause: an entry told the owner of a stored job also when the store had it from an earlier attempt, and the owner added the job as its own although it was announced and not read yet. Tasks that an earlier owner had started on a worker not yet polled began again. Change: only a job that this attempt stored is told, and an announced job is left to its record, which counts as inherited. Why it works: a job counts as this owner's only if nobody else can have started it. Evidence: TestAdmittedJobOfAnEarlierAttemptWaitsForUnpolledWorkers failed before (2 starts).

--- a/io/node/intake_test.go
+++ b/io/node/intake_test.go
@@ -199,3 +199,32 @@
 	c.quit(errStopping)
 	must.NoError(t, c.group.Wait())
 }
+
+// TestAdmittedJobOfAnEarlierAttemptWaitsForUnpolledWorkers guards against running a job twice: it was stored under an earlier owner,
+// and the attempt that this owner admits is told as stored before the job has been read.
+func TestAdmittedJobOfAnEarlierAttemptWaitsForUnpolledWorkers(t *testing.T) {
+	now := SteadyClock()
+	n := New(Settings{Bounds: sched.Settings{}}, Dependencies{Store: store.NewClient(&stand.Platform{}), Dialect: fakeDialect{}, Now: now})
+	c := n.newControl(t.Context(), ownership{revision: 5})
+	at := now()
+	c.state.ConfirmOwnership(at.Add(ownerLease))
+	c.state.SetConfig(sched.Config{Version: 1, Queues: map[string]sched.Queue{"q": {Name: "q", Pool: "p"}}, Pools: map[string]sched.Pool{"p": {Name: "p"}}})
+	capacity := sched.Size{Processors: 16000, MemoryMB: 32768}
+	c.state.SetWorkers(at, []sched.Worker{{ID: "seen", Pool: "p", Capacity: capacity, StartedAt: at}, {ID: "unseen", Pool: "p", Capacity: capacity, StartedAt: at}})
+	c.state.PollAnswered(at, "seen", sched.PollResult{Answer: sched.Executed, Sent: at, StartedAt: at})
+	c.state.Announce("j")
+	for _, change := range c.state.Plan(at).Roster {
+		c.state.RosterSaved(change)
+	}
+	c.group.Go(func() error {
+		c.admit(t.Context(), job("j", 2))
+		c.recordStored(t.Context(), "j")
+		return nil
+	})
+	for range 2 {
+		(<-c.events)(now())
+	}
+	must.NoError(t, c.group.Wait())
+	must.SliceEmpty(t, c.state.Plan(at).Starts)
+	must.True(t, c.state.Awaits("j"))
+}
--- a/io/node/requests.go
+++ b/io/node/requests.go
@@ -100,7 +100,7 @@
 		return admission
 	}
 	v := n.accept(ctx, j)
-	if v.Outcome == OutcomeDone && admission.Outcome == outcomeAdmitted {
+	if v.Outcome == OutcomeDone && v.Reason != reasonKnown && admission.Outcome == outcomeAdmitted {
 		n.background.Go(func() error {
 			// When this notice is lost, the owner finds the job in the store.
 			_, err := n.askOwner(context.WithoutCancel(ctx), "POST", "/admissions/"+j.ID+"/stored", nil)
@@ -357,8 +357,9 @@
 // recordStored adds an admitted job to the state after the asking entry has stored it.
 func (c *control) recordStored(ctx context.Context, id string) Verdict {
 	return c.query(ctx, func(now time.Time) Verdict {
-		if a, admitted := c.admitted[id]; admitted {
-			delete(c.admitted, id)
+		a, admitted := c.admitted[id]
+		delete(c.admitted, id)
+		if admitted && !c.state.Awaits(id) { // a job that is being read may be that of an earlier attempt, with runs of an earlier owner
 			c.state.AddJob(now, a.job, sched.Progress{}, false)
 		}
 		return Verdict{Outcome: OutcomeDone}
