Let carriers refuse an owner that they know to be replaced

An owner that cannot reach the store goes on for 4 s; it does not see the cancellations that are stored meanwhile, and carriers that are in touch send its starts. Cause: a carrier refused an earlier owner only after a frame of the later one, not when it read the later one's record. Change: handleOrders compares the frame's token with the ownership record that the entry follows, too. Why it works: a record with a higher revision exists only after the earlier owner's record was removed; the refusal ends that owner. Evidence: TestCarrierRefusesAnOwnerThatItKnowsToBeReplaced failed before (1 start).

--- a/io/node/carrier.go
+++ b/io/node/carrier.go
@@ -39,8 +39,8 @@
 	maxCachedSpecs         = 4096                   // of at most 4 KB each
 )
 
-// handleOrders handles a frame of orders from an owner. It refuses orders with a token lower than the highest seen, and all
-// orders once the entry stops.
+// handleOrders handles a frame of orders from an owner. It refuses orders with a token lower than the highest seen in frames or
+// in the ownership record, and all orders once the entry stops.
 func (p *carrier) handleOrders(owner string, f *wire.Orders) {
 	heard := stampTime(f.GetHeardNanoseconds())
 	p.mu.Lock()
@@ -48,7 +48,7 @@
 	if p.closed {
 		return // the link is being closed too
 	}
-	if f.GetFence() < p.token {
+	if f.GetFence() < max(p.token, p.node.ownerRevision()) {
 		p.refuse(owner, f, sched.StaleToken)
 		return
 	}
--- a/io/node/carrier_test.go
+++ b/io/node/carrier_test.go
@@ -162,6 +162,23 @@
 	must.Eq(t, 0, fleet.count("j"))
 }
 
+// TestCarrierRefusesAnOwnerThatItKnowsToBeReplaced guards against starts by an owner that cannot see what is cancelled meanwhile.
+func TestCarrierRefusesAnOwnerThatItKnowsToBeReplaced(t *testing.T) {
+	fleet := newFleet(SteadyClock())
+	n := New(Settings{Name: "e"}, Dependencies{Store: store.NewClient(&stand.Platform{}), Workers: fleet, Dialect: fakeDialect{}, Now: SteadyClock()})
+	n.carrier.cacheSpec("j", "spec")
+	n.setOwner(&ownership{Name: "later", revision: 7})
+	for _, o := range []struct {
+		fence uint64
+		want  int // starts in all
+	}{{5, 0}, {7, 1}, {5, 1}} {
+		order := encodeOrder(1, sched.Worker{ID: "w"}, sched.Start{Worker: "w", Task: sched.TaskID{Job: "j", Index: int(o.fence)}, Run: 1})
+		n.carrier.handleOrders("owner", &wire.Orders{Fence: o.fence, HeardNanoseconds: n.Now().UnixNano(), Orders: []*wire.Order{order}})
+		_ = n.carrier.group.Wait()
+		must.Eq(t, o.want, fleet.count("j"))
+	}
+}
+
 func TestOrderEncodingRoundTrip(t *testing.T) {
 	id := sched.TaskID{Job: "j", Occurrence: 1, Step: 2, Index: 3}
 	w := sched.Worker{ID: "w"}
