Give the list after a compaction its own time instead of the watch's

What callers may see: stored cancellations, jobs and configurations that are never applied (UNASKED, LOST), or a successor that never begins. Cause: when the store answers a watch with 410, the whole list was read within what was left of the watch's time, 1.8 s and for a successor's catch-up 1.0 s. Over a slow link the list takes longer, fails, and is begun again from the same revision. Change: a backend says ErrCompacted and the client reads the list as Range does, as long as data arrives and 20 s at most. Why it works: the read has the time of every other list.

--- a/io/store/backend.go
+++ b/io/store/backend.go
@@ -69,6 +69,7 @@
 	ErrNoLease     = errors.New("the lease has expired")
 	ErrNotApplied  = errors.New("the platform rejected the call without applying it")
 	ErrTooLarge    = errors.New("the value is larger than 1 MB")
+	ErrCompacted   = errors.New("the changes after the requested revision were compacted")
 )
 
 // MaxValueBytes is the size of the largest value that the platform stores.
@@ -78,7 +79,8 @@
 //
 // Swap and Delete fail with ErrConflict if the key's revision is not expect; zero expects that the key does not exist. Commit
 // returns the new revision, or after a conflict the records of the conditions' keys. Renew and
-// writes with an expired lease fail with ErrNoLease.
+// writes with an expired lease fail with ErrNoLease. WatchPrefix fails with ErrCompacted, or returns all records, if changes after
+// the revision were compacted.
 type Backend interface {
 	Get(ctx context.Context, key string) (Record, error)
 	Swap(ctx context.Context, next Record, expect uint64) (Record, error)
--- a/io/store/change.go
+++ b/io/store/change.go
@@ -22,15 +22,19 @@
 	return batch, err
 }
 
-// WatchPrefix waits up to maxWait for a key with the prefix to change after a revision. It takes nothing from the call budget.
+// WatchPrefix waits up to maxWait for a key with the prefix to change after a revision. It takes nothing from the call budget,
+// unless the changes were compacted: then it reads all keys, which may take longer than maxWait.
 func (c *Client) WatchPrefix(ctx context.Context, prefix string, after uint64, maxWait time.Duration) (Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxWait+c.CallTimeout)
+	watchCtx, cancel := context.WithTimeout(ctx, maxWait+c.CallTimeout)
 	defer cancel()
 	began := time.Now()
-	batch, err := c.Backend.WatchPrefix(ctx, prefix, after, maxWait)
+	batch, err := c.Backend.WatchPrefix(watchCtx, prefix, after, maxWait)
 	if c.Observe != nil {
 		c.Observe("Watch", time.Since(began), err)
 	}
+	if errors.Is(err, ErrCompacted) {
+		return c.Range(ctx, prefix, Critical)
+	}
 	return batch, err
 }
 
