Simulate owners that read jobs late, and cancellations among them

Change: TestRandomHistoriesWithUnreadJobs plays the histories of TestRandomHistories with reads of 0 to 2 s and with cancellations. Two more invariants hold in all simulations: no start after the acknowledged end of a task, none after a stored cancellation.

--- a/core/sched/invariant_test.go
+++ b/core/sched/invariant_test.go
@@ -26,6 +26,9 @@
 			w.violated("%s runs on %s and %s at once", s.Task, y.ID, x.ID)
 		}
 	}
+	if step := w.jobs[s.Task.Job].Steps[s.Task.Step]; w.acknowledged[s.Task] && !step.LongRunning && !step.Speculative {
+		w.violated("%s is started after its end was acknowledged", s.Task)
+	}
 	for _, a := range w.jobs[s.Task.Job].Steps[s.Task.Step].After {
 		for i := range w.jobs[s.Task.Job].Steps[a].Count {
 			if _, done := w.done[TaskID{s.Task.Job, s.Task.Occurrence, a, i}]; !done {
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -298,48 +298,66 @@
 // TestRandomHistories checks the simulated workers' invariants, and that all jobs complete, under random network cuts,
 // late orders, owner changes, store outages and maintenance waves.
 func TestRandomHistories(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) { randomHistory(t, r, nil) })
+}
+
+// TestRandomHistoriesWithUnreadJobs: new owners read each job up to two seconds after they began, and jobs are cancelled.
+func TestRandomHistoriesWithUnreadJobs(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		w := newSimulation(t, rapid.Uint64().Draw(r, "seed"), map[string]int{"p": 5, "q": 4, "spare": 2})
-		w.run(time.Second)
-		w.submit(longRunningJob("l", "p", 4))
-		token := uint64(1)
-		for i := range 24 {
-			w.submit(batch(fmt.Sprint("a", i), rapid.SampledFrom([]string{"p", "q"}).Draw(r, "pool"), 1+i%5, 700+100*(i%7), 1+i%3))
-			x := w.workers[rapid.IntRange(0, len(w.workers)-1).Draw(r, "worker")]
-			switch rapid.IntRange(0, 9).Draw(r, "event") {
-			case 0:
-				x.unreachable = true
-				w.schedule(5*time.Second, func() { x.unreachable = false })
-			case 1:
-				x.lateAnswers = true
-				w.schedule(3*time.Second, func() { x.lateAnswers = false })
-			case 2:
-				token++
-				w.owner.ended = true
-				w.owner = w.newOwner(token)
-			case 3:
-				w.owner.storeDown = true
-				o := w.owner
-				w.schedule(3*time.Second, func() { o.storeDown = false })
-			case 4:
-				token++
-				o := w.owner
-				o.storeDown = true
-				w.others = append(w.others, o)
-				w.schedule(5*time.Second, func() { o.ended = true })
-				w.owner = w.newOwner(token)
-			case 5:
-				w.maxDown[int64(i+1)] = 2
-				w.owner.state.AddWave(w.now, Wave{Number: int64(i + 1), TimeLimit: 20 * time.Second, MaxDown: 2, Machines: []string{"m01", "m03", "m06", "m07"}})
-			}
-			w.run(time.Duration(rapid.IntRange(50, 700).Draw(r, "gap")) * time.Millisecond)
+		delays := rapid.SliceOfN(rapid.IntRange(0, 2000), 8, 8).Draw(r, "delays")
+		randomHistory(t, r, func(id string) time.Duration {
+			return time.Duration(delays[int(id[len(id)-1])%len(delays)]) * time.Millisecond
+		})
+	})
+}
+
+// randomHistory plays random jobs and faults and checks that every job ends. With readDelay, new owners read jobs after that time,
+// and some jobs are cancelled.
+func randomHistory(t *testing.T, r *rapid.T, readDelay func(id string) time.Duration) {
+	w := newSimulation(t, rapid.Uint64().Draw(r, "seed"), map[string]int{"p": 5, "q": 4, "spare": 2})
+	w.readDelay = readDelay
+	w.run(time.Second)
+	w.submit(longRunningJob("l", "p", 4))
+	token := uint64(1)
+	for i := range 24 {
+		w.submit(batch(fmt.Sprint("a", i), rapid.SampledFrom([]string{"p", "q"}).Draw(r, "pool"), 1+i%5, 700+100*(i%7), 1+i%3))
+		x := w.workers[rapid.IntRange(0, len(w.workers)-1).Draw(r, "worker")]
+		switch rapid.IntRange(0, 9).Draw(r, "event") {
+		case 0:
+			x.unreachable = true
+			w.schedule(5*time.Second, func() { x.unreachable = false })
+		case 1:
+			x.lateAnswers = true
+			w.schedule(3*time.Second, func() { x.lateAnswers = false })
+		case 2:
+			token++
+			w.owner.ended = true
+			w.owner = w.newOwner(token)
+		case 3:
+			w.owner.storeDown = true
+			o := w.owner
+			w.schedule(3*time.Second, func() { o.storeDown = false })
+		case 4:
+			token++
+			o := w.owner
+			o.storeDown = true
+			w.others = append(w.others, o)
+			w.schedule(5*time.Second, func() { o.ended = true })
+			w.owner = w.newOwner(token)
+		case 5:
+			w.maxDown[int64(i+1)] = 2
+			w.owner.state.AddWave(w.now, Wave{Number: int64(i + 1), TimeLimit: 20 * time.Second, MaxDown: 2, Machines: []string{"m01", "m03", "m06", "m07"}})
 		}
-		w.run(25 * time.Second)
-		for id := range w.jobs {
-			if state, _ := w.owner.state.JobState(id); id != "l" && state != Completed {
-				t.Fatalf("job %s is %s\n%s", id, state, w.owner.state.dump(id))
-			}
+		w.run(time.Duration(rapid.IntRange(50, 700).Draw(r, "gap")) * time.Millisecond)
+		if readDelay != nil && i > 0 && rapid.IntRange(0, 4).Draw(r, "cancel") == 0 {
+			w.cancel(fmt.Sprint("a", rapid.IntRange(0, i-1).Draw(r, "cancelled")))
 		}
-		must.Eq(t, 4, w.runningTasks("l"))
-	})
+	}
+	w.run(25 * time.Second)
+	for id := range w.jobs {
+		if state, _ := w.owner.state.JobState(id); id != "l" && state != Completed && !(state == Cancelled && w.cancelled[id]) {
+			t.Fatalf("job %s is %s\n%s", id, state, w.owner.state.dump(id))
+		}
+	}
+	must.Eq(t, 4, w.runningTasks("l"))
 }
--- a/core/sched/sim_test.go
+++ b/core/sched/sim_test.go
@@ -57,12 +57,15 @@
 	violations       []string
 	trace            []string
 	moveCount        int
-	unavailableUntil map[string]time.Time // until when a machine is moving or in maintenance
-	pools            map[string]string    // by machine, its pool
-	tokens           map[string]uint64    // by machine, the highest fencing token it has seen
-	maintained       map[string]int64     // by machine, the wave of its last maintenance
-	maintenanceEnd   map[string]time.Time // until when a machine is down for maintenance
-	maxDown          map[int64]int        // by wave, the number of machines that may be down at once
+	unavailableUntil map[string]time.Time          // until when a machine is moving or in maintenance
+	pools            map[string]string             // by machine, its pool
+	tokens           map[string]uint64             // by machine, the highest fencing token it has seen
+	maintained       map[string]int64              // by machine, the wave of its last maintenance
+	maintenanceEnd   map[string]time.Time          // until when a machine is down for maintenance
+	maxDown          map[int64]int                 // by wave, the number of machines that may be down at once
+	acknowledged     map[TaskID]bool               // tasks of which an end as done was acknowledged
+	cancelled        map[string]bool               // jobs whose cancellation is stored
+	readDelay        func(id string) time.Duration // until a new owner has read a job; nil if it begins with all jobs
 	lastIncarnation  int
 	config           Config
 }
@@ -99,7 +102,7 @@
 	w := &simulation{
 		t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, simStream)),
 		jobs: make(map[string]Job), stored: make(map[string]Progress), waves: make(map[int64]WaveStatus), roster: make(map[string]Worker), byID: make(map[string]*simWorker),
-		done: make(map[TaskID]time.Time), starts: make(map[TaskID]int), unavailableUntil: make(map[string]time.Time), pools: make(map[string]string), tokens: make(map[string]uint64), maintained: make(map[string]int64), maxDown: make(map[int64]int), maintenanceEnd: make(map[string]time.Time),
+		done: make(map[TaskID]time.Time), starts: make(map[TaskID]int), unavailableUntil: make(map[string]time.Time), pools: make(map[string]string), tokens: make(map[string]uint64), maintained: make(map[string]int64), acknowledged: make(map[TaskID]bool), cancelled: make(map[string]bool), maxDown: make(map[int64]int), maintenanceEnd: make(map[string]time.Time),
 		config: Config{Version: 1, Queues: make(map[string]Queue), Pools: map[string]Pool{"spare": {Name: "spare", Spare: true}}},
 	}
 	w.runTime = func(TaskID) time.Duration { return 800 * time.Millisecond }
@@ -156,7 +159,14 @@
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		o.state.AddJob(w.now, w.jobs[id], w.stored[id], true)
+		if w.readDelay != nil {
+			o.state.Announce(id)
+		} else {
+			o.state.AddJob(w.now, w.jobs[id], w.stored[id], true)
+		}
+		if w.cancelled[id] {
+			o.state.CancelStored(w.now, id)
+		}
 	}
 	for _, s := range w.waves {
 		o.state.RestoreWave(s)
@@ -186,6 +196,12 @@
 	w.owner.state.AddJob(w.now, j, Progress{}, false)
 }
 
+// cancel stores the cancellation of a job and applies it at the present owner.
+func (w *simulation) cancel(id string) {
+	w.cancelled[id] = true
+	w.owner.state.CancelStored(w.now, id)
+}
+
 // schedule schedules a call.
 func (w *simulation) schedule(d time.Duration, f func()) {
 	w.events = append(w.events, event{w.now.Add(d), f})
@@ -250,7 +266,20 @@
 	for _, n := range orders.Decisions {
 		w.log("owner %d: %s %s on %s: %s", o.token, n.Kind, n.Task, n.Worker, n.Reason)
 	}
+	for _, id := range orders.JobReads {
+		j, stored := w.jobs[id]
+		w.schedule(w.readDelay(id), func() {
+			if !stored {
+				o.state.Withdraw(id)
+				return
+			}
+			o.state.AddJob(w.now, j, w.stored[id], true)
+		})
+	}
 	for _, s := range orders.Starts {
+		if o == w.owner && w.cancelled[s.Task.Job] {
+			w.violated("%s is started after the cancellation of its job", s.Task)
+		}
 		w.deliverOrder(o, s.Worker, func(x *simWorker) Answer { return w.start(o, x, s) }, func(a Answer) { o.state.StartAnswered(w.now, s, a) })
 	}
 	for _, s := range orders.Stops {
@@ -430,7 +459,10 @@
 	if l.Until > 0 {
 		x.extend(w.now, l.Until)
 	}
-	x.ended = slices.DeleteFunc(x.ended, func(e EndedRun) bool { return e.Number <= l.Acknowledged })
+	x.ended = slices.DeleteFunc(x.ended, func(e EndedRun) bool {
+		w.acknowledged[e.Task] = w.acknowledged[e.Task] || e.Number <= l.Acknowledged && e.Reason == Done
+		return e.Number <= l.Acknowledged
+	})
 	s := PollResult{Answer: Executed, Sent: sent, Clock: x.clock(w.now), StartedAt: x.StartedAt, Ended: slices.Clone(x.ended)}
 	for _, r := range x.runs {
 		if w.now.Sub(r.startedAt) > 300*time.Millisecond {
