--- a/io/node/fake_test.go
+++ b/io/node/fake_test.go
@@ -354,14 +354,7 @@
 	t.Helper()
 	now := SteadyClock()
 	c := &cluster{t: t, platform: &stand.Platform{Seed: 1, Unlimited: true}, fleet: newFleet(now)}
-	config := Config{Config: sched.Config{
-		Version: 1, Queues: map[string]sched.Queue{"q": {Name: "q", Pool: "p", Attempts: 3, Stretch: 1.6, Target: time.Second}},
-		Pools: map[string]sched.Pool{"p": {Name: "p"}},
-	}}
-	c.put(fakeOperator+"config", config)
-	for _, id := range []string{"w1", "w2", "w3"} {
-		c.put(fakeWorkers+id, sched.Worker{ID: id, Pool: "p", Zone: "z", Address: netip.MustParseAddrPort("127.0.0.1:1"), Capacity: sched.Size{Processors: 16000, MemoryMB: 32768}, StartedAt: c.fleet.startedAt})
-	}
+	c.putFleet()
 	var backends []*faultyBackend
 	for i := range size {
 		b := &faultyBackend{Platform: c.platform}
@@ -389,6 +382,18 @@
 	return c, backends
 }
 
+// putFleet writes the configuration and three workers.
+func (c *cluster) putFleet() {
+	config := Config{Config: sched.Config{
+		Version: 1, Queues: map[string]sched.Queue{"q": {Name: "q", Pool: "p", Attempts: 3, Stretch: 1.6, Target: time.Second}},
+		Pools: map[string]sched.Pool{"p": {Name: "p"}},
+	}}
+	c.put(fakeOperator+"config", config)
+	for _, id := range []string{"w1", "w2", "w3"} {
+		c.put(fakeWorkers+id, sched.Worker{ID: id, Pool: "p", Zone: "z", Address: netip.MustParseAddrPort("127.0.0.1:1"), Capacity: sched.Size{Processors: 16000, MemoryMB: 32768}, StartedAt: c.fleet.startedAt})
+	}
+}
+
 func (c *cluster) put(key string, value any) {
 	encoded, err := json.Marshal(value)
 	must.NoError(c.t, err)
