--- a/core/sched/announce.go
+++ b/core/sched/announce.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// await announces a job that a worker names, unless its record was found absent, and reports whether its record is awaited.
+// await announces a job that a worker's list names, and reports whether its record is awaited: it is not once it was found absent.
 func (s *State) await(id string) bool {
 	a := s.announced[id]
 	if a == nil {
@@ -67,7 +67,7 @@
 		r.worker.requestScan()
 	}
 	for _, e := range a.ends {
-		e.unsaved.job = &job{} // nothing is to be saved
+		e.unsaved.absent = true
 	}
 	s.announced[id] = &announcement{absent: true}
 }
--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -78,6 +78,7 @@
 	number  int64
 	job     *job // nil while the job's record has not been read
 	version uint64
+	absent  bool // the store holds no such job
 }
 
 // phase is the state of a run as the owner knows it.
--- a/core/sched/poll.go
+++ b/core/sched/poll.go
@@ -144,17 +144,11 @@
 
 // handleEnd handles an ended run that a worker lists.
 func (s *State) handleEnd(now time.Time, w *worker, e EndedRun) {
-	j := s.jobs[e.Task.Job]
-	switch {
-	case j != nil:
-		unsaved := &unsavedEnd{number: e.Number}
-		w.unsavedEnds = append(w.unsavedEnds, unsaved)
-		s.applyJobEnd(now, w, j, e, unsaved)
-	case s.await(e.Task.Job):
-		unsaved := &unsavedEnd{number: e.Number}
-		w.unsavedEnds = append(w.unsavedEnds, unsaved)
+	if j := s.jobs[e.Task.Job]; j != nil {
+		s.applyJobEnd(now, w, j, e, w.addUnsavedEnd(e.Number))
+	} else if s.await(e.Task.Job) {
 		a := s.announced[e.Task.Job]
-		a.ends = append(a.ends, awaitedEnd{w, e, unsaved})
+		a.ends = append(a.ends, awaitedEnd{w, e, w.addUnsavedEnd(e.Number)})
 	}
 	if r := w.runs[e.Task]; r != nil && r.number <= e.Run {
 		if e.Saved != "" {
@@ -164,7 +158,14 @@
 	}
 }
 
-// applyJobEnd applies an ended run of a known job, which is stored with the job's version in unsaved.
+// addUnsavedEnd adds an ended run that must not be acknowledged before its effect is durable.
+func (w *worker) addUnsavedEnd(number int64) *unsavedEnd {
+	u := &unsavedEnd{number: number}
+	w.unsavedEnds = append(w.unsavedEnds, u)
+	return u
+}
+
+// applyJobEnd applies an ended run of a known job. Its effect is durable once the job's present version is.
 func (s *State) applyJobEnd(now time.Time, w *worker, j *job, e EndedRun, unsaved *unsavedEnd) {
 	if t := s.find(e.Task); t != nil {
 		s.applyEnd(now, w, t, e)
@@ -347,5 +348,5 @@
 	return w.lastEndRead
 }
 
-// saved reports whether the effect of the end is durable.
-func (u *unsavedEnd) saved() bool { return u.job != nil && u.job.savedVersion >= u.version }
+// saved reports whether the effect of the end is durable, or it has none.
+func (u *unsavedEnd) saved() bool { return u.absent || u.job != nil && u.job.savedVersion >= u.version }
--- a/io/node/intake_test.go
+++ b/io/node/intake_test.go
@@ -12,18 +12,24 @@
 	"daisysaddle/io/store"
 )
 
-// TestIntakeWaitsForUnpolledWorkers guards against running a job twice: an earlier owner accepts a job after its successor has
-// read all jobs and starts it on a worker that the successor has not polled yet, so the successor must not start it again.
-func TestIntakeWaitsForUnpolledWorkers(t *testing.T) {
-	now := SteadyClock()
-	n := New(Settings{Bounds: sched.Settings{}}, Dependencies{Store: store.NewClient(&stand.Platform{}), Dialect: fakeDialect{}, Now: now})
+// newSuccessor returns the control of a new owner that has polled one of two workers, and the time of that.
+func newSuccessor(t *testing.T) (*control, time.Time) {
+	t.Helper()
+	n := New(Settings{Bounds: sched.Settings{}}, Dependencies{Store: store.NewClient(&stand.Platform{}), Dialect: fakeDialect{}, Now: SteadyClock()})
 	c := n.newControl(t.Context(), ownership{revision: 5})
-	at := now()
+	at := n.Now()
 	c.state.ConfirmOwnership(at.Add(ownerLease))
 	c.state.SetConfig(sched.Config{Version: 1, Queues: map[string]sched.Queue{"q": {Name: "q", Pool: "p"}}, Pools: map[string]sched.Pool{"p": {Name: "p"}}})
 	capacity := sched.Size{Processors: 16000, MemoryMB: 32768}
 	c.state.SetWorkers(at, []sched.Worker{{ID: "seen", Pool: "p", Capacity: capacity, StartedAt: at}, {ID: "unseen", Pool: "p", Capacity: capacity, StartedAt: at}})
 	c.state.PollAnswered(at, "seen", sched.PollResult{Answer: sched.Executed, Sent: at, StartedAt: at})
+	return c, at
+}
+
+// TestIntakeWaitsForUnpolledWorkers guards against running a job twice: an earlier owner accepts a job after its successor has
+// read all jobs and starts it on a worker that the successor has not polled yet, so the successor must not start it again.
+func TestIntakeWaitsForUnpolledWorkers(t *testing.T) {
+	c, at := newSuccessor(t)
 	for _, change := range c.state.Plan(at).Roster {
 		c.state.RosterSaved(change)
 	}
@@ -200,18 +206,9 @@
 	must.NoError(t, c.group.Wait())
 }
 
-// TestAdmittedJobOfAnEarlierAttemptWaitsForUnpolledWorkers guards against running a job twice: it was stored under an earlier owner,
-// and the attempt that this owner admits is told as stored before the job has been read.
+// TestAdmittedJobOfAnEarlierAttemptWaitsForUnpolledWorkers guards against running a job twice that an earlier owner may have started.
 func TestAdmittedJobOfAnEarlierAttemptWaitsForUnpolledWorkers(t *testing.T) {
-	now := SteadyClock()
-	n := New(Settings{Bounds: sched.Settings{}}, Dependencies{Store: store.NewClient(&stand.Platform{}), Dialect: fakeDialect{}, Now: now})
-	c := n.newControl(t.Context(), ownership{revision: 5})
-	at := now()
-	c.state.ConfirmOwnership(at.Add(ownerLease))
-	c.state.SetConfig(sched.Config{Version: 1, Queues: map[string]sched.Queue{"q": {Name: "q", Pool: "p"}}, Pools: map[string]sched.Pool{"p": {Name: "p"}}})
-	capacity := sched.Size{Processors: 16000, MemoryMB: 32768}
-	c.state.SetWorkers(at, []sched.Worker{{ID: "seen", Pool: "p", Capacity: capacity, StartedAt: at}, {ID: "unseen", Pool: "p", Capacity: capacity, StartedAt: at}})
-	c.state.PollAnswered(at, "seen", sched.PollResult{Answer: sched.Executed, Sent: at, StartedAt: at})
+	c, at := newSuccessor(t)
 	c.state.Announce("j")
 	for _, change := range c.state.Plan(at).Roster {
 		c.state.RosterSaved(change)
@@ -222,7 +219,7 @@
 		return nil
 	})
 	for range 2 {
-		(<-c.events)(now())
+		(<-c.events)(at)
 	}
 	must.NoError(t, c.group.Wait())
 	must.SliceEmpty(t, c.state.Plan(at).Starts)
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -49,7 +49,7 @@
 			Buckets: prometheus.ExponentialBuckets(firstBucketSeconds, bucketFactor, bucketCount),
 		}, []string{"method", "status"}),
 		intake: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "daisysaddle_intake_seconds", Help: "Time from the arrival of a job or cancellation that another entry stored until the owner applied it.",
+			Name: "daisysaddle_intake_seconds", Help: "Time from the arrival of a stored job's name, or of a stored cancellation, until the owner applied it.",
 			Buckets: prometheus.ExponentialBuckets(firstBucketSeconds, bucketFactor, bucketCount),
 		}, []string{"kind"}),
 		copies:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "daisysaddle_order_copies_total", Help: "Orders that were sent again because their answer was overdue."}, []string{"order"}),
--- a/io/node/requests.go
+++ b/io/node/requests.go
@@ -359,7 +359,8 @@
 	return c.query(ctx, func(now time.Time) Verdict {
 		a, admitted := c.admitted[id]
 		delete(c.admitted, id)
-		if admitted && !c.state.Awaits(id) { // a job that is being read may be that of an earlier attempt, with runs of an earlier owner
+		// An announced job may be that of an earlier attempt, with runs of an earlier owner.
+		if admitted && !c.state.Awaits(id) {
 			c.state.AddJob(now, a.job, sched.Progress{}, false)
 		}
 		return Verdict{Outcome: OutcomeDone}
