Read the diff again: one call for awaited jobs, one name for their reads

Cause: each use of await looked the announcement up again and asked whether the job was known; reads of jobs had four names; addReadJob named how, not what; the tests stood twice for a lost order and had one sentence to read twice and a comment of two lines. Change: await returns the announcement or nil; jobReads in state, control and orders; addStoredJob; executeLater for both fleets of tests. Behaviour, bounds and assertions stay.

--- a/core/sched/announce.go
+++ b/core/sched/announce.go
@@ -1,13 +1,16 @@
 package sched
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// announcement is an accepted job whose record the owner has not read yet.
+// announcement is what the owner knows of a job whose record it has not read yet or did not find.
 type announcement struct {
-	cancelled bool   // a cancellation of the job is stored
-	absent    bool   // the store held no such job when it was read
-	runs      []*run // its runs that workers list
-	ends      []awaitedEnd
+	cancelled bool         // a cancellation of the job is stored
+	absent    bool         // the store held no such job when its record was to be read
+	runs      []*run       // its runs that workers list
+	ends      []awaitedEnd // its ended runs that workers listed
 }
 
 // awaitedEnd is an ended run of a job whose record has not been read yet.
@@ -25,20 +28,22 @@
 	if a := s.announced[id]; a != nil && a.absent {
 		delete(s.announced, id)
 	}
-	if s.jobs[id] == nil {
-		s.await(id)
-	}
+	s.await(id)
 }
 
-// await announces a job that a worker's list names, and reports whether its record is awaited: it is not once it was found absent.
-func (s *State) await(id string) bool {
+// await returns the announcement of a job whose record is awaited, and announces the job if it is new. It returns nil if the job is
+// known or was found absent.
+func (s *State) await(id string) *announcement {
 	a := s.announced[id]
-	if a == nil {
+	switch {
+	case s.jobs[id] != nil || a != nil && a.absent:
+		return nil
+	case a == nil:
 		a = &announcement{}
 		s.announced[id] = a
-		s.toRead = append(s.toRead, id)
+		s.jobReads = append(s.jobReads, id)
 	}
-	return !a.absent
+	return a
 }
 
 // Awaits reports whether a job was announced and its record has not been read yet.
@@ -93,14 +98,9 @@
 	}
 }
 
-// takeUnread returns the announced jobs whose records no plan has ordered to be read.
-func (s *State) takeUnread() []string {
-	var ids []string
-	for _, id := range s.toRead {
-		if s.Awaits(id) {
-			ids = append(ids, id)
-		}
-	}
-	s.toRead = nil
+// takeJobReads returns the awaited jobs whose records no plan has ordered to be read.
+func (s *State) takeJobReads() []string {
+	ids := slices.DeleteFunc(s.jobReads, func(id string) bool { return !s.Awaits(id) })
+	s.jobReads = nil
 	return ids
 }
--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -47,7 +47,7 @@
 	for _, w := range workers {
 		s.planPoll(now, w, &o)
 	}
-	o.JobReads = s.takeUnread()
+	o.JobReads = s.takeJobReads()
 	s.planRoster(now, workers, &o)
 	s.planSaves(&o)
 	o.Wake = now.Add(planInterval)
--- a/core/sched/poll.go
+++ b/core/sched/poll.go
@@ -109,12 +109,11 @@
 
 // adopt adds a run that a worker lists and this owner does not know.
 func (s *State) adopt(now time.Time, w *worker, status RunStatus) *run {
-	// A run of unknown size reserves the whole worker.
+	// The run reserves the whole worker until its size is known.
 	r := &run{id: status.Task, number: status.Run, phase: running, size: w.Capacity, since: now, confirmedAt: now, pace: fullPercent}
 	s.reserve(w, r)
-	if s.jobs[r.id.Job] == nil && s.await(r.id.Job) {
+	if a := s.await(r.id.Job); a != nil {
 		r.awaited = true
-		a := s.announced[r.id.Job]
 		a.runs = append(a.runs, r)
 	} else {
 		s.attach(r)
@@ -146,8 +145,7 @@
 func (s *State) handleEnd(now time.Time, w *worker, e EndedRun) {
 	if j := s.jobs[e.Task.Job]; j != nil {
 		s.applyJobEnd(now, w, j, e, w.addUnsavedEnd(e.Number))
-	} else if s.await(e.Task.Job) {
-		a := s.announced[e.Task.Job]
+	} else if a := s.await(e.Task.Job); a != nil {
 		a.ends = append(a.ends, awaitedEnd{w, e, w.addUnsavedEnd(e.Number)})
 	}
 	if r := w.runs[e.Task]; r != nil && r.number <= e.Run {
--- a/core/sched/sim_test.go
+++ b/core/sched/sim_test.go
@@ -460,8 +460,11 @@
 		x.extend(w.now, l.Until)
 	}
 	x.ended = slices.DeleteFunc(x.ended, func(e EndedRun) bool {
-		w.acknowledged[e.Task] = w.acknowledged[e.Task] || e.Number <= l.Acknowledged && e.Reason == Done
-		return e.Number <= l.Acknowledged
+		acknowledged := e.Number <= l.Acknowledged
+		if acknowledged && e.Reason == Done {
+			w.acknowledged[e.Task] = true
+		}
+		return acknowledged
 	})
 	s := PollResult{Answer: Executed, Sent: sent, Clock: x.clock(w.now), StartedAt: x.StartedAt, Ended: slices.Clone(x.ended)}
 	for _, r := range x.runs {
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -25,8 +25,8 @@
 	// scheduled holds the scheduled jobs that have occurrences to come.
 	scheduled       map[string]*job
 	longRunningJobs map[string]*job          // jobs with long-running steps
-	announced       map[string]*announcement // stored jobs whose records have not been read, by id
-	toRead          []string                 // ids of those whose reading no plan has ordered
+	announced       map[string]*announcement // jobs whose records have not been read or found, by id
+	jobReads        []string                 // ids of those whose reading no plan has ordered
 	demands         map[string]*poolDemand   // demand of each pool
 	moves           map[string]*move         // by machine
 	executedOrders  map[string]executedOrder // by machine: executed orders whose effect no machine list has shown
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -29,7 +29,7 @@
 	group       errgroup.Group
 	revisions   map[string]uint64    // of the records that the owner writes, by key
 	admitted    map[string]admission // jobs that other entries may be storing, by id
-	jobsToRead  []string             // announced jobs to be read next
+	jobReads    []string             // ids of announced jobs to be read next
 	readingJobs bool                 // announced jobs are being read
 	listing     bool                 // a request for the list of machines is in progress
 	listAgain   bool                 // another one must follow it
--- a/io/node/fake_test.go
+++ b/io/node/fake_test.go
@@ -72,16 +72,20 @@
 	f.mu.Lock()
 	lost := f.random.Float64() < f.lossShare
 	f.mu.Unlock()
-	if !lost {
-		return false
+	if lost {
+		f.executeLater(ctx, execute)
 	}
+	return lost
+}
+
+// executeLater executes a lost order after executeLate and waits until its sender gives up.
+func (f *fakeFleet) executeLater(ctx context.Context, execute func()) {
 	f.late.Go(func() error {
 		time.Sleep(executeLate)
 		execute()
 		return nil
 	})
 	<-ctx.Done()
-	return true
 }
 
 type fakeRun struct {
--- a/io/node/intake.go
+++ b/io/node/intake.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// addJob adds a job to the state from its stored record. The job counts as inherited from an earlier owner: one that has not
+// addJob adds a job to the state from its stored record, or withdraws it if there is none. The job counts as inherited from an earlier owner: one that has not
 // noticed its replacement may have started its tasks on a worker that this owner has not polled yet.
 func (c *control) addJob(now time.Time, id string, record store.Record, progress sched.Progress) {
 	if record.Revision == 0 {
@@ -159,11 +159,11 @@
 // readJobs reads announced jobs and adds them to the state. It reads one group of jobs at a time, so that the rate of its reads
 // stays bounded.
 func (c *control) readJobs(ids []string) {
-	c.jobsToRead = append(c.jobsToRead, ids...)
-	if c.readingJobs || len(c.jobsToRead) == 0 {
+	c.jobReads = append(c.jobReads, ids...)
+	if c.readingJobs || len(c.jobReads) == 0 {
 		return
 	}
-	ids, c.jobsToRead, c.readingJobs = c.jobsToRead, nil, true
+	ids, c.jobReads, c.readingJobs = c.jobReads, nil, true
 	began := c.node.Now()
 	c.group.Go(func() error {
 		progress := c.readAll(keysOf(keyProgress, ids)) // first, because both are deleted together
@@ -173,18 +173,18 @@
 		}
 		c.enqueue(func(now time.Time) {
 			for i, id := range ids {
-				c.addReadJob(now, id, jobs[i], progress[i])
+				c.addStoredJob(now, id, jobs[i], progress[i])
 			}
 			c.node.logLimited("JobsRead").Int("Jobs", len(ids)).Dur("Took", now.Sub(began)).Uint64("Fence", c.token).Send()
 			c.readingJobs = false
-			c.readJobs(nil)
+			c.readJobs(nil) // those that were ordered meanwhile
 		})
 		return nil
 	})
 }
 
-// addReadJob adds an announced job to the state; its progress record exists if the job has run but its records are not deleted yet.
-func (c *control) addReadJob(now time.Time, id string, job, progress store.Record) {
+// addStoredJob adds a job to the state from its stored record and progress, which exists if a task of the job has ended.
+func (c *control) addStoredJob(now time.Time, id string, job, progress store.Record) {
 	var p sched.Progress
 	if progress.Revision > 0 {
 		var err error
--- a/io/node/intake_test.go
+++ b/io/node/intake_test.go
@@ -26,8 +26,7 @@
 	return c, at
 }
 
-// TestIntakeWaitsForUnpolledWorkers guards against running a job twice: an earlier owner accepts a job after its successor has
-// read all jobs and starts it on a worker that the successor has not polled yet, so the successor must not start it again.
+// TestIntakeWaitsForUnpolledWorkers guards against starting a job again that an earlier owner started on a worker not polled yet.
 func TestIntakeWaitsForUnpolledWorkers(t *testing.T) {
 	c, at := newSuccessor(t)
 	for _, change := range c.state.Plan(at).Roster {
--- a/io/node/resend_test.go
+++ b/io/node/resend_test.go
@@ -106,12 +106,7 @@
 	if !w.lossy.Load() || !w.draw(ctx, worker, order) {
 		return false
 	}
-	w.late.Go(func() error {
-		time.Sleep(executeLate)
-		execute()
-		return nil
-	})
-	<-ctx.Done()
+	w.executeLater(ctx, execute)
 	return true
 }
 
