review: one job with many paths between its steps stops the owner for all callers

Cause: remainingPath (core/sched/estimate.go) takes time that grows with the number of paths through the steps.

--- a/review/standin/entries.go
+++ b/review/standin/entries.go
@@ -88,12 +88,12 @@
 
 // startEntries starts n entries, one in each zone in turn.
 func (d *deployment) startEntries(n int) error {
-	block := 2 + rand.IntN(200)
+	a, b := 2+rand.IntN(250), rand.IntN(250)
 	for i := 0; len(d.entries) < n; i++ {
 		if i > 200 {
 			return fmt.Errorf("no free loopback addresses")
 		}
-		ip := fmt.Sprintf("127.%d.%d.%d", block, block, 2+i)
+		ip := fmt.Sprintf("127.%d.%d.%d", a, b, 2+i)
 		if !free(ip, metricsPort) {
 			continue
 		}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,8 @@
 	"lasting": playLasting,
 	"ticket":  playTicket,
 	"cancel":  playCancel,
+	"moved":   playMoved,
+	"steps":   playSteps,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -63,6 +64,7 @@
 
 	// Guarded by f.mu.
 	alive   bool
+	cut     bool // the entries do not reach it, nor it them
 	gone    chan struct{}
 	fence   int64
 	until   int64
@@ -139,7 +141,16 @@
 	mux.HandleFunc("POST /daisysaddle/pace", w.order(func(orderBody) (int, string) { return http.StatusOK, "" }))
 	mux.HandleFunc("POST /daisysaddle/hold", w.serveHold)
 	mux.HandleFunc("GET /healthz", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusOK) })
-	w.server = &http.Server{Handler: mux}
+	w.server = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		cut := w.cut
+		f.mu.Unlock()
+		if cut {
+			<-r.Context().Done() // nothing arrives
+			return
+		}
+		mux.ServeHTTP(rw, r)
+	})}
 	go func() { _ = w.server.Serve(listener) }()
 	f.mu.Lock()
 	f.workers[id] = w
@@ -455,6 +466,23 @@
 	return n
 }
 
+// twice describes how a task runs twice at this moment, or returns an empty string.
+func (f *fleet) twice(task string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var where []string
+	for _, w := range f.workers {
+		if r := w.runs[task]; r != nil {
+			where = append(where, fmt.Sprintf("run %d on %s", r.number, w.id))
+		}
+	}
+	if len(where) < 2 {
+		return ""
+	}
+	sort.Strings(where)
+	return fmt.Sprintf("TWICE: at %.3f s %s runs at the same time as %s", f.rec.at().Seconds(), task, strings.Join(where, " and "))
+}
+
 // hasEnded reports whether a run of a task has ended so.
 func (f *fleet) hasEnded(task, how string) bool {
 	f.mu.Lock()
