review: a worker kept for a task that can't start there is lost to all other jobs

Cause: reserveWorker (core/sched/crash.go) reserves a worker on which the task may not start, again and again.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,13 +14,14 @@
 
 // cases are the cases by name. Each returns what broke the rule.
 var cases = map[string]func(d *deployment, trouble bool) ([]string, error){
-	"upkeep":  playUpkeep,
-	"route":   playRoute,
-	"lasting": playLasting,
-	"ticket":  playTicket,
-	"cancel":  playCancel,
-	"moved":   playMoved,
-	"steps":   playSteps,
+	"upkeep":   playUpkeep,
+	"route":    playRoute,
+	"lasting":  playLasting,
+	"ticket":   playTicket,
+	"cancel":   playCancel,
+	"moved":    playMoved,
+	"steps":    playSteps,
+	"reserved": playReserved,
 }
 
 func main() { os.Exit(play()) }
