--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -83,21 +83,21 @@
 }
 
 // waitsInVain watches a task for the given time and describes how it breaks LOST: it has nothing running all the while, though its turn has
-// come, there is room for it twice over and under half of the capacity of its service is in use.
-func (d *deployment) waitsInVain(task, service string, s size, watch time.Duration) string {
+// come, a worker with the label that it needs has room for it twice over, and under half of the capacity of its service is in use.
+func (d *deployment) waitsInVain(task, service, label string, s size, watch time.Duration) string {
 	began := time.Now()
 	for time.Since(began) < watch {
 		d.fleet.mu.Lock()
 		r, _ := d.fleet.running(task)
 		used, all := d.fleet.used(service)
 		d.fleet.mu.Unlock()
-		if r != nil || d.fleet.roomFor(service, s) == 0 || 2*used.CPU >= all.CPU {
+		if r != nil || d.fleet.roomFor(service, label, s) == 0 || 2*used.CPU >= all.CPU {
 			return ""
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 	used, all := d.usedBy(service)
-	return fmt.Sprintf("LOST: at %.3f s %s has had nothing running for %s; %d workers have room for it twice over, %d of %d thousandths of a core are in use", d.rec.at().Seconds(), task, watch, d.fleet.roomFor(service, s), used.CPU, all.CPU)
+	return fmt.Sprintf("LOST: at %.3f s %s has had nothing running for %s; %d workers that may run it have room for it twice over, %d of %d thousandths of a core are in use", d.rec.at().Seconds(), task, watch, d.fleet.roomFor(service, label, s), used.CPU, all.CPU)
 }
 
 func (d *deployment) usedBy(service string) (used, all size) {
@@ -230,7 +230,7 @@
 	if d.fleet.begun(id+".0.1.0") > 0 {
 		return nil, nil
 	}
-	if b := d.waitsInVain(id+".0.1.0", "plans", unit, standing); b != "" {
+	if b := d.waitsInVain(id+".0.1.0", "plans", "", unit, standing); b != "" {
 		return []string{b}, nil
 	}
 	return nil, nil
@@ -270,7 +270,7 @@
 	// The crash is an impairment until the platform takes the worker's entry away, 4.5 s later; 3 s and 4 s of calm and 3 s without a run follow.
 	time.Sleep(silentBeats*heartbeat + settled + 7*time.Second)
 	for _, task := range tasks {
-		if b := d.waitsInVain(task, "plans", unit, standing); b != "" {
+		if b := d.waitsInVain(task, "plans", "", unit, standing); b != "" {
 			return []string{b}, nil
 		}
 	}
@@ -338,7 +338,7 @@
 	if d.fleet.hasEnded(id+".0.0.0", "done") {
 		return nil, nil
 	}
-	if b := d.waitsInVain(id+".0.0.0", "plans", unit, standing); b != "" {
+	if b := d.waitsInVain(id+".0.0.0", "plans", "", unit, standing); b != "" {
 		return []string{fmt.Sprintf("%s; %d starts were rejected", b, d.fleet.rejected)}, nil
 	}
 	return nil, nil
--- a/review/standin/hang.go
+++ b/review/standin/hang.go
@@ -61,7 +61,7 @@
 		if d.fleet.begun(id+".0.0.0") > 0 {
 			continue
 		}
-		if b := d.waitsInVain(id+".0.0.0", "plans", unit, standing); b != "" {
+		if b := d.waitsInVain(id+".0.0.0", "plans", "", unit, standing); b != "" {
 			broken = append(broken, b)
 			break
 		}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 	"cancel":   playCancel,
 	"moved":    playMoved,
 	"steps":    playSteps,
+	"deadly":   playDeadly,
 	"reserved": playReserved,
 }
 
--- a/review/standin/reserved.go
+++ b/review/standin/reserved.go
@@ -65,7 +65,7 @@
 	if d.fleet.begun(id+".0.0.0") > 0 {
 		return nil, nil
 	}
-	if b := d.waitsInVain(id+".0.0.0", "plans", unit, standing); b != "" {
+	if b := d.waitsInVain(id+".0.0.0", "plans", "b", unit, standing); b != "" {
 		return []string{b}, nil
 	}
 	return nil, nil
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -109,6 +110,8 @@
 	// ticket reports whether a ticket is valid on a life of a worker; nil where none is needed.
 	ticket   func(w *worker, task, ticket string) bool
 	rejected int // starts that were rejected
+	// deadly reports whether a task crashes the worker that starts it, and sees to that; nil if none does.
+	deadly func(w *worker, task string) bool
 }
 
 func newFleet(s *kv, rec *recorder) *fleet {
@@ -277,6 +280,9 @@
 	time.AfterFunc(silentBeats*heartbeat, remove)
 }
 
+// crashing is the reason of a start that is never answered, since its worker crashes.
+const crashing = "crashing"
+
 // orderBody is the body of an order for a run.
 type orderBody struct {
 	Task    string `json:"task"`
@@ -309,6 +315,10 @@
 		}
 		body := map[string]any{"clock_ms": w.clock(), "born": w.born.UnixMilli()}
 		w.f.mu.Unlock()
+		if reason == crashing {
+			<-r.Context().Done()
+			return
+		}
 		if reason != "" {
 			body["reason"] = reason
 		}
@@ -342,6 +352,10 @@
 	case w.f.ticket != nil && !w.f.ticket(w, o.Task, o.Ticket):
 		return reject("ticket")
 	}
+	if w.f.deadly != nil && w.f.deadly(w, o.Task) {
+		w.f.rec.log("worker %s: run %d of %s begins and crashes it", w.id, o.Run, o.Task)
+		return http.StatusOK, crashing
+	}
 	w.extend(o.UntilMS)
 	r = &running{task: o.Task, number: o.Run, began: time.Now(), size: w.f.sizeOf(o.Task)}
 	length, failing := w.f.work(o.Task, o.Run)
@@ -495,13 +509,13 @@
 	return false
 }
 
-// roomFor returns the number of workers of a service that have room for a task twice over.
-func (f *fleet) roomFor(service string, s size) int {
+// roomFor returns the number of workers of a service, with a label if one is given, that have room for a task twice over.
+func (f *fleet) roomFor(service, label string, s size) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
 	for _, w := range f.workers {
-		if w.service != service {
+		if w.service != service || label != "" && !slices.Contains(w.labels, label) {
 			continue
 		}
 		free := w.capacity
