--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 	"moved":    playMoved,
 	"steps":    playSteps,
 	"deadly":   playDeadly,
+	"pages":    playPages,
 	"reserved": playReserved,
 }
 
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -67,6 +67,40 @@
 	// answered as usual.
 	holdBack func(transaction) time.Duration
 	writes   int
+
+	second                    int64 // for which the next two count
+	secondWrites, secondReads int
+}
+
+const (
+	writesPerSecond = 400
+	readsPerSecond  = 2000
+)
+
+// admits counts a call against its rate, and reports whether it is within it.
+func (s *kv) admits(write bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now().Unix(); now != s.second {
+		s.second, s.secondWrites, s.secondReads = now, 0, 0
+	}
+	count, limit := &s.secondReads, readsPerSecond
+	if write {
+		count, limit = &s.secondWrites, writesPerSecond
+	}
+	*count++
+	return *count <= limit
+}
+
+// limited serves calls within their rate and answers the others with 429.
+func (s *kv) limited(write bool, serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !s.admits(write) {
+			answer(w, http.StatusTooManyRequests, nil)
+			return
+		}
+		serve(w, r)
+	}
 }
 
 func newKV() (*kv, error) {
@@ -77,11 +111,11 @@
 	}
 	s.address = listener.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /daisysaddle/kv-key", s.serveKey)
-	mux.HandleFunc("GET /daisysaddle/kv-range", s.serveRange)
-	mux.HandleFunc("GET /daisysaddle/kv-watch", s.serveWatch)
-	mux.HandleFunc("POST /daisysaddle/kv-txn", s.serveTransaction)
-	mux.HandleFunc("POST /daisysaddle/kv-lease", s.serveLease)
+	mux.HandleFunc("GET /daisysaddle/kv-key", s.limited(false, s.serveKey))
+	mux.HandleFunc("GET /daisysaddle/kv-range", s.limited(false, s.serveRange))
+	mux.HandleFunc("GET /daisysaddle/kv-watch", s.limited(false, s.serveWatch))
+	mux.HandleFunc("POST /daisysaddle/kv-txn", s.limited(true, s.serveTransaction))
+	mux.HandleFunc("POST /daisysaddle/kv-lease", s.limited(true, s.serveLease))
 	mux.HandleFunc("POST /daisysaddle/kv-keep/{id}", s.serveKeep)
 	mux.HandleFunc("DELETE /daisysaddle/kv-lease-end/{id}", s.serveLeaseEnd)
 	go func() { _ = http.Serve(listener, mux) }()
