Let a long-running task share a worker with its step when no other is free

The limit that spreads a step over the workers was kept without an end, like the caller's own limit per worker. Now it is kept for 3 s of a task's waiting, and ranks workers after that.

Two tasks of a step that may miss one can now run on one worker, which a wave never chose. Waves empty such workers first, one task at a time, while all other tasks of the step are available.

--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -170,20 +170,27 @@
 		return
 	}
 	runsPerWorker := st.runsPerWorker()
+	spreadOnly := false // tasks that no worker's failure concerns find room only beyond the spread limit
 	for i := range st.tasks {
 		t := &st.tasks[i]
 		if !t.waiting() {
 			continue
 		}
-		w := s.chooseWorker(now, t, q, workers, runsPerWorker)
-		if w == nil {
-			if len(t.avoid) == 0 && len(t.crashes) == 0 {
-				return // the remaining tasks have the same requirements
-			}
+		alike := len(t.avoid) == 0 && len(t.crashes) == 0
+		if alike && spreadOnly && !t.mayExceedSpread(now) {
+			t.waitForSpread(now)
 			continue
 		}
-		runsPerWorker[w.ID]++
-		s.startRun(now, t, w, t.nextRunNumber(s.token), o)
+		w := s.chooseWorker(now, t, q, workers, runsPerWorker)
+		switch {
+		case w != nil:
+			runsPerWorker[w.ID]++
+			s.startRun(now, t, w, t.nextRunNumber(s.token), o)
+		case alike && !t.waitsForSpreadSince.IsZero() && !t.mayExceedSpread(now):
+			spreadOnly = true
+		case alike:
+			return // the remaining tasks have the same requirements
+		}
 	}
 }
 
@@ -203,17 +210,40 @@
 	return max(t.lastRun+1, int64(token)<<runNumberShift+1)
 }
 
-// workerLimit returns how many tasks of the step may run on one worker. Long-running tasks are spread
-// so that the maintenance of one machine makes no more of them unavailable than the step permits.
+// workerLimit returns how many tasks of the step may run on one worker.
 func (p *Step) workerLimit() int {
-	most := math.MaxInt
 	if p.MaxPerWorker > 0 {
-		most = p.MaxPerWorker
+		return p.MaxPerWorker
 	}
-	if p.LongRunning && !p.Backfill {
-		most = min(most, max(1, p.MaxUnavailable))
+	return math.MaxInt
+}
+
+// spreads reports whether the step's tasks are spread over the workers, so that the maintenance of one machine makes no
+// more of them unavailable than the step permits.
+func (p *Step) spreads() bool { return p.LongRunning && !p.Backfill }
+
+// spreadLimit returns how many tasks of the step run on one worker while other workers have room for the rest.
+func (p *Step) spreadLimit() int {
+	if !p.spreads() {
+		return p.workerLimit()
+	}
+	return min(p.workerLimit(), max(1, p.MaxUnavailable))
+}
+
+// spreadWait is the time after which a task is placed on a worker beyond the spread limit, rather than wait any longer for
+// another worker. It covers the move of a machine into the pool and the maintenance of one.
+const spreadWait = 3 * time.Second
+
+// mayExceedSpread reports whether the task has waited long enough for a worker within the spread limit.
+func (t *task) mayExceedSpread(now time.Time) bool {
+	return !t.waitsForSpreadSince.IsZero() && now.Sub(t.waitsForSpreadSince) >= spreadWait
+}
+
+// waitForSpread records that the spread limit keeps the task off all workers with room.
+func (t *task) waitForSpread(now time.Time) {
+	if t.waitsForSpreadSince.IsZero() {
+		t.waitsForSpreadSince = now
 	}
-	return most
 }
 
 // allowed reports whether the stage's label and tickets permit it to run on a worker.
@@ -228,21 +258,34 @@
 	return true
 }
 
+// mayRunOn reports whether the stage may have one more task on a worker whatever room it has, with the number of its runs on
+// each worker.
+func (st *stage) mayRunOn(now time.Time, q Queue, w *worker, runsPerWorker map[string]int) bool {
+	return st.allowed(now, q, w) && runsPerWorker[w.ID] < st.step.workerLimit()
+}
+
 // chooseWorker returns the worker on which to start a task, or nil if none has room.
 //
-// It avoids workers on which the task failed, then prefers the rack of the data, then the worker with the fewest suspects of crashes. Of
+// It keeps within the spread limit unless the task has waited for spreadWait, avoids workers on which the task failed, then prefers the rack of the data, then the worker with the fewest suspects of crashes. Of
 // the rest it takes the one with the highest load, so that other machines become empty and can move to the pools with demand; a suspect
 // takes the lowest, so that its crash would end few runs.
 func (s *State) chooseWorker(now time.Time, t *task, q Queue, workers []*worker, perWorker map[string]int) *worker {
 	st := t.stage
-	size := st.step.reserved()
+	size, spreadLimit := st.step.reserved(), st.step.spreadLimit()
 	var best *worker
 	var bestScore score
+	crowded := false // only the spread limit keeps the task off some worker
 	for _, w := range workers {
-		if !size.Fits(w.free()) || !st.allowed(now, q, w) || perWorker[w.ID] >= st.step.workerLimit() || w.runs[t.id()] != nil || !w.mayStart(t) {
+		if !size.Fits(w.free()) || !st.mayRunOn(now, q, w, perWorker) || w.runs[t.id()] != nil || !w.mayStart(t) {
+			continue
+		}
+		excess := max(0, perWorker[w.ID]+1-spreadLimit)
+		if excess > 0 && !t.mayExceedSpread(now) {
+			crowded = true
 			continue
 		}
 		sc := score{
+			excess:    excess,
 			avoided:   slices.Contains(t.avoid, w.ID) || t.crashedAt(w.Address),
 			otherRack: st.step.PreferredRack != "" && w.Rack != st.step.PreferredRack,
 			suspects:  w.suspects,
@@ -255,11 +298,15 @@
 			best, bestScore = w, sc
 		}
 	}
+	if best == nil && crowded {
+		t.waitForSpread(now)
+	}
 	return best
 }
 
 // score rates a worker for a task. The smallest score is the best.
 type score struct {
+	excess    int // tasks of the step there beyond the spread limit
 	avoided   bool
 	otherRack bool
 	suspects  int
@@ -267,6 +314,9 @@
 }
 
 func (a score) less(b score) bool {
+	if a.excess != b.excess {
+		return a.excess < b.excess
+	}
 	if a.avoided != b.avoided {
 		return b.avoided
 	}
@@ -363,7 +413,7 @@
 	st := t.stage
 	r := &run{id: t.id(), task: t, number: number, phase: starting, size: st.step.reserved(), since: now, saved: t.saved, pace: fullPercent}
 	t.run, t.lastRun = r, number
-	t.waitsAloneSince = time.Time{}
+	t.waitsAloneSince, t.waitsForSpreadSince = time.Time{}, time.Time{}
 	w.suspects += boolInt(len(t.crashes) > 0)
 	s.reserve(w, r)
 	w.recordStart(now, r)
--- a/core/sched/sizing.go
+++ b/core/sched/sizing.go
@@ -222,9 +222,9 @@
 			continue
 		}
 		for i := range j.Steps {
-			if step := &j.Steps[i]; step.LongRunning && step.workerLimit() < step.Count {
+			if step := &j.Steps[i]; step.LongRunning && step.spreadLimit() < step.Count {
 				l := s.demandOf(s.config.Queues[j.Queue].Pool)
-				l.minWorkers = max(l.minWorkers, (step.Count+step.workerLimit()-1)/step.workerLimit())
+				l.minWorkers = max(l.minWorkers, (step.Count+step.spreadLimit()-1)/step.spreadLimit())
 			}
 		}
 	}
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -130,6 +130,8 @@
 	crashVersion    uint64    // version of the job's progress that holds the last of them
 	trial           *trial    // set from its storing to the known end of a run alone
 	waitsAloneSince time.Time // since when it waits for a worker of its own
+	// waitsForSpreadSince is when the spread limit of its step first kept it off all workers with room.
+	waitsForSpreadSince time.Time
 }
 
 func (t *task) id() TaskID {
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -253,7 +253,8 @@
 		}
 		if p.chosenAt.IsZero() {
 			s.logWaiting(now, w, p)
-			if !spare && !p.unconfirmed && (!s.mayChoose(now, w, m, down+chosen, left) || !s.mayTakeDown(now, s.workers[m.Worker], false)) {
+			wk := s.workers[m.Worker]
+			if !spare && !p.unconfirmed && (!s.mayChoose(now, w, m, down+chosen, left) || !s.mayPrepare(now, wk) || wk.crowded() && chosen > 0) {
 				continue
 			}
 			p.chosenAt = now
@@ -264,7 +265,7 @@
 			}
 		}
 		if !p.unconfirmed && !spare {
-			s.stopExcessTask(s.workers[m.Worker])
+			s.stopExcessTask(now, s.workers[m.Worker])
 		}
 		s.logWaiting(now, w, p)
 		if now.Before(p.retryAt) || !p.unconfirmed && down >= w.MaxDown || !p.unconfirmed && !spare && !s.mayTakeDown(now, s.workers[m.Worker], now.Sub(p.chosenAt) < batchDrainTimeout) {
@@ -389,6 +390,44 @@
 	return s.maintenanceBlocker(now, w, waitForBatch) == ""
 }
 
+// mayPrepare reports whether a worker may be prepared for the maintenance of its machine: the maintenance may begin once the
+// worker runs no more tasks of a long-running step than may be unavailable.
+func (s *State) mayPrepare(now time.Time, w *worker) bool {
+	if w.crowded() {
+		for st := range w.longRunningRuns() {
+			if st.unavailable(w) > 0 {
+				return false
+			}
+		}
+		return w.polled
+	}
+	return s.mayTakeDown(now, w, false)
+}
+
+// longRunningRuns returns the number of the worker's runs for each long-running stage whose job has not ended.
+func (w *worker) longRunningRuns() map[*stage]int {
+	n := make(map[*stage]int)
+	for _, r := range w.runs {
+		if r.task != nil && r.task.stage.step.LongRunning && !r.task.stage.job.state.Final() {
+			n[r.task.stage]++
+		}
+	}
+	return n
+}
+
+// crowded reports whether the worker runs more tasks of a long-running step than may be unavailable at once.
+func (w *worker) crowded() bool {
+	if w == nil {
+		return false
+	}
+	for st, n := range w.longRunningRuns() {
+		if n > max(1, st.step.MaxUnavailable) {
+			return true
+		}
+	}
+	return false
+}
+
 // maintenanceBlocker returns the reason why the maintenance of a worker's machine must not begin now, or "".
 //
 // No more tasks of a long-running step may be unavailable than the step allows. With waitForBatch the
@@ -421,9 +460,9 @@
 }
 
 // stopExcessTask prepares a worker for maintenance when it runs more tasks of a long-running step than may be unavailable
-// at once. It stops one of them, which then starts on another worker, and only while all tasks elsewhere are available.
-func (s *State) stopExcessTask(w *worker) {
-	if w == nil {
+// at once. It stops one of them, which then starts on another worker, and only while all other tasks are available.
+func (s *State) stopExcessTask(now time.Time, w *worker) {
+	if !w.crowded() {
 		return
 	}
 	taken := make(map[*stage]int)
@@ -433,7 +472,8 @@
 		}
 		st := r.task.stage
 		taken[st]++
-		if taken[st] > max(1, st.step.MaxUnavailable) && st.unavailable(w) == 0 && !w.isStopping(st) {
+		awayElsewhere := st.unavailable(nil) - boolInt(!r.available())
+		if taken[st] > max(1, st.step.MaxUnavailable) && awayElsewhere == 0 && !w.isStopping(st) && s.hasPlaceBeside(now, st, w) {
 			r.phase = stopping
 			w.requestScan()
 			s.logDecision("Stop", r.id, w.ID, "UpkeepDue", r.number)
@@ -441,6 +481,15 @@
 	}
 }
 
+// hasPlaceBeside reports whether a worker other than w has room for one more task of the stage.
+func (s *State) hasPlaceBeside(now time.Time, st *stage, w *worker) bool {
+	q := s.config.Queues[st.job.Queue]
+	runsPerWorker := st.runsPerWorker()
+	return slices.ContainsFunc(s.sortedWorkers(), func(other *worker) bool {
+		return other != w && other.Pool == q.Pool && other.usable(now) && st.mayRunOn(now, q, other, runsPerWorker) && st.step.reserved().Fits(other.free())
+	})
+}
+
 // isStopping reports whether a run of the step is being stopped on the worker.
 func (w *worker) isStopping(st *stage) bool {
 	for _, r := range w.runs {
@@ -451,8 +500,7 @@
 	return false
 }
 
-// unavailable counts the tasks of a long-running step, other than those on w, that are not ready or whose worker
-// does not answer or is going down.
+// unavailable counts the tasks of a long-running step, other than those on w, that are not available.
 func (st *stage) unavailable(w *worker) int {
 	n := 0
 	for i := range st.tasks {
@@ -460,13 +508,18 @@
 		if r != nil && r.worker == w {
 			continue
 		}
-		if r == nil || r.phase != running || r.percent < fullPercent || r.worker.pollFailures > 0 || r.worker.maintenanceOrdered {
+		if r == nil || !r.available() {
 			n++
 		}
 	}
 	return n
 }
 
+// available reports whether the run of a long-running task is ready on a worker that answers and is not going down.
+func (r *run) available() bool {
+	return r.phase == running && r.percent >= fullPercent && r.worker.pollFailures == 0 && !r.worker.maintenanceOrdered
+}
+
 // saveWave requests storing a wave's status when it has changed.
 func (s *State) saveWave(w *wave, o *Orders) {
 	status := WaveStatus{Wave: w.Number, Completed: w.allBegun, Asked: w.requestedAt}
