Bound the cost of a decision by the size of its jobs

The rank of a waiting stage walked every path between the steps, 2^30 calls in each plan. The longest chains are now computed once for each occurrence and plan, in time linear in the dependencies, and so is the work of an occurrence.

The same class elsewhere: a schedule whose first time is long past created up to 2^20 occurrences in one plan; its occurrences now wait for earlier ones above 20,000 live tasks. A short description could ask for 2.5 million tasks, more than an entry's memory; a job of more than 50,000 tasks is refused at intake.

--- a/core/sched/admit.go
+++ b/core/sched/admit.go
@@ -87,6 +87,7 @@
 // waitingWork returns the processor-seconds of the waiting batch tasks of all queues that share a pool.
 func (s *State) waitingWork(now time.Time, pool string) float64 {
 	work := 0.0
+	left := make(map[*occurrence]float64)
 	blocked := s.mayHaveUnseenRuns(now, pool)
 	for name, other := range s.queues {
 		if s.config.Queues[name].Pool != pool {
@@ -96,8 +97,10 @@
 			if st.step.LongRunning || st.step.Backfill || st.job.state.Final() || blocked && st.job.inherited {
 				continue
 			}
-			left, _ := s.occurrenceWork(st)
-			work += left
+			if _, known := left[st.occurrence]; !known {
+				left[st.occurrence], _ = s.occurrenceWork(st.occurrence)
+			}
+			work += left[st.occurrence]
 		}
 	}
 	return work
--- a/core/sched/estimate.go
+++ b/core/sched/estimate.go
@@ -52,17 +52,47 @@
 	return s.estimate(queue, step).Seconds() * float64(step.Size.Processors) / milliPerCore
 }
 
-// remainingPath returns the expected time of the longest chain of steps that begins with a step.
-func (s *State) remainingPath(st *stage) time.Duration {
-	longest := time.Duration(0)
-	for _, next := range st.occurrence.stages[st.index+1:] {
-		for _, a := range next.step.After {
-			if a == st.index {
-				longest = max(longest, s.remainingPath(next))
+// outlook is what the placement order needs to know of an occurrence. It is computed once for all of its stages.
+type outlook struct {
+	due       time.Time       // by when the occurrence should be done
+	remaining []time.Duration // by step, the expected time of the longest chain of steps that begins with it
+	left      float64         // processor-seconds of the waiting tasks
+	total     float64         // processor-seconds of all tasks
+}
+
+// outlook returns the outlook of an occurrence. Its cost is linear in the number of tasks and dependencies.
+func (s *State) outlook(q Queue, o *occurrence) outlook {
+	j := &o.stages[0].job.Job
+	l := outlook{due: o.due.Add(s.objective(q, j)), remaining: s.remainingPaths(j)}
+	l.left, l.total = s.occurrenceWork(o)
+	return l
+}
+
+// remainingPaths returns, by step, the expected time of the longest chain of steps that begins with it.
+func (s *State) remainingPaths(j *Job) []time.Duration {
+	paths := make([]time.Duration, len(j.Steps)) // of the steps that follow, until the step itself is reached
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		step := &j.Steps[i]
+		paths[i] += s.estimate(j.Queue, step)
+		for _, a := range step.After {
+			paths[a] = max(paths[a], paths[i])
+		}
+	}
+	return paths
+}
+
+// occurrenceWork returns the processor-seconds of the waiting tasks of an occurrence, and those of all its tasks.
+func (s *State) occurrenceWork(o *occurrence) (left, total float64) {
+	for _, st := range o.stages {
+		seconds := s.cost(st.job.Queue, st.step)
+		total += seconds * float64(st.step.Count)
+		for i := range st.tasks {
+			if st.tasks[i].waiting() {
+				left += seconds
 			}
 		}
 	}
-	return longest + s.estimate(st.job.Queue, st.step)
+	return left, total
 }
 
 // recordJobWork records the processor-seconds of a job.
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -82,9 +82,9 @@
 		})
 		all = append(all, q.stages...)
 	}
-	ranks := make(map[*stage]rank, len(all))
+	ranks, outlooks := make(map[*stage]rank, len(all)), make(map[*occurrence]outlook)
 	for _, st := range all {
-		ranks[st] = s.rankOf(now, st)
+		ranks[st] = s.rankOf(now, st, outlooks)
 	}
 	slices.SortFunc(all, func(a, b *stage) int { return ranks[a].compare(ranks[b]) })
 	return all
@@ -111,24 +111,28 @@
 	groupLate // the occurrence can no longer end within its objective
 )
 
-// rankOf returns the rank of a stage.
+// rankOf returns the rank of a stage, and adds the outlook of its occurrence to those known.
 //
 // Ordering by due time alone would make all jobs a little late in a burst that exceeds the capacity.
 // Jobs that can still be on time come first. Among jobs of one group and priority, those with the least
 // remaining work for their worth to the submitter come first.
-func (s *State) rankOf(now time.Time, st *stage) rank {
+func (s *State) rankOf(now time.Time, st *stage, known map[*occurrence]outlook) rank {
 	q := s.config.Queues[st.job.Queue]
 	r := rank{group: groupOnTime, priority: q.Priority, id: st.job.ID, step: st.index}
 	if st.step.LongRunning {
 		r.group, r.due = groupLongRunning, st.job.acceptedAt
 		return r
 	}
-	r.due = s.dueTime(q, st)
-	if now.Add(s.remainingPath(st)).After(r.due) {
+	l, found := known[st.occurrence]
+	if !found {
+		l = s.outlook(q, st.occurrence)
+		known[st.occurrence] = l
+	}
+	r.due = l.due
+	if now.Add(l.remaining[st.index]).After(r.due) {
 		r.group = groupLate
 	}
-	left, total := s.occurrenceWork(st)
-	r.effort = left / (baseJobValue + total/s.meanWork(st.job.Queue))
+	r.effort = l.left / (baseJobValue + l.total/s.meanWork(st.job.Queue))
 	return r
 }
 
@@ -136,28 +140,9 @@
 // is 1 for a job of mean work. Submitters state 0.3 to 0.7.
 const baseJobValue = 0.43
 
-// occurrenceWork returns the processor-seconds of the waiting tasks of a stage's occurrence, and those of all its tasks.
-func (s *State) occurrenceWork(st *stage) (left, total float64) {
-	for _, other := range st.occurrence.stages {
-		seconds := s.cost(st.job.Queue, other.step)
-		total += seconds * float64(other.step.Count)
-		for i := range other.tasks {
-			if other.tasks[i].waiting() {
-				left += seconds
-			}
-		}
-	}
-	return left, total
-}
-
 // milliPerCore is the number of units of Size.Processors in a core.
 const milliPerCore = 1000
 
-// dueTime returns the time by which the stage's occurrence should be done.
-func (s *State) dueTime(q Queue, st *stage) time.Time {
-	return st.occurrence.due.Add(s.objective(q, &st.job.Job))
-}
-
 // objective returns the latency objective of a job: a fixed part and a multiple of its critical path.
 func (s *State) objective(q Queue, j *Job) time.Duration {
 	return q.Target + time.Duration(q.Stretch*float64(j.criticalPath(func(p *Step) time.Duration { return s.estimate(j.Queue, p) })))
--- a/core/sched/progress.go
+++ b/core/sched/progress.go
@@ -70,6 +70,7 @@
 const (
 	maxSteps        = 256
 	maxTasksPerStep = 10000
+	maxTasks        = 50_000 // of one occurrence, if the job is submitted now; stored ones may have more
 	maxRepeats      = 1 << 20
 	maxSpecBytes    = 4000
 )
@@ -102,6 +103,18 @@
 	return nil
 }
 
+// CheckSubmitted is Check for a job that has not been accepted yet. It also limits the number of tasks, each of which takes the owner's
+// memory and time, however short the description is.
+func (j Job) CheckSubmitted() error {
+	if err := j.Check(); err != nil {
+		return err
+	}
+	if n := j.taskCount(); n > maxTasks {
+		return errors.Wrapf(ErrBadJob, "%d tasks in all steps: want at most %d", n, maxTasks)
+	}
+	return nil
+}
+
 // criticalPath returns the duration of the job's critical path, the longest chain of dependent steps, from an
 // estimate of each step's run time.
 func (j *Job) criticalPath(estimate func(*Step) time.Duration) time.Duration {
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -237,6 +237,15 @@
 	return slices.ContainsFunc(j.Steps, func(p Step) bool { return p.LongRunning })
 }
 
+// taskCount returns the number of tasks of one occurrence of the job.
+func (j *Job) taskCount() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
 // oneOff reports whether the job runs once, at once, and not by a schedule.
 func (j *job) oneOff() bool { return j.Repeats == 0 }
 
@@ -252,10 +261,18 @@
 // noOccurrence is an index below that of the first occurrence.
 const noOccurrence = -1
 
-// createOccurrences creates the occurrences up to the index known and all others that are due, except those that done lists as
-// completed. An occurrence of which something is known was due by the clock of an earlier owner, which may have been ahead.
+// maxLiveTasks is the number of tasks of a scheduled job from which its due occurrences wait for earlier ones to be done. It is far above the
+// number of tasks that run at a time.
+const maxLiveTasks = 20_000
+
+// createOccurrences creates the occurrences up to the index known and the others that are due, up to maxLiveTasks, except those that done
+// lists as completed. An occurrence of which something is known was due by the clock of an earlier owner, which may have been ahead.
 func (s *State) createOccurrences(now time.Time, j *job, known int, done map[int]OccurrenceProgress) {
-	for !j.state.Final() && j.nextOccurrence < j.occurrenceCount() && (j.nextOccurrence <= known || !now.Before(j.dueAt(j.nextOccurrence))) {
+	tasks := j.taskCount()
+	mayCreate := func(k int) bool {
+		return k <= known || !now.Before(j.dueAt(k)) && (len(j.occurrences) == 0 || (len(j.occurrences)+1)*tasks <= maxLiveTasks)
+	}
+	for !j.state.Final() && j.nextOccurrence < j.occurrenceCount() && mayCreate(j.nextOccurrence) {
 		k := j.nextOccurrence
 		j.nextOccurrence++
 		if done[k].Completed {
