Reserve a worker only for a task that may start there, and not without an end

The reservation did not check the limit on one worker and was made anew each 4 s. One check now serves placement and reservations, a reservation that ends without use leaves the worker to all jobs for 4 s, a task whose worker does not become free shares one, and a run alone keeps its worker for 8 s at most.

--- a/core/sched/crash.go
+++ b/core/sched/crash.go
@@ -16,7 +16,8 @@
 
 const (
 	isolationCrashes = 2                // crashes after which a task runs alone
-	reservationTime  = 4 * time.Second  // a worker that is not free for a task by then is not kept for it
+	reservationTime  = 4 * time.Second  // a worker that is not free for a task by then serves all jobs again for at least as long
+	trialTime        = 8 * time.Second  // for which a worker is kept for a run alone
 	settleTrialTime  = 15 * time.Second // after which the outcome of a trial of an earlier owner is not awaited any more
 	trialExposure    = 4 * time.Second  // for which nobody saw the worker of such a trial
 	maxChance        = 1e-3             // probability of being chance from which the crashes under a task prove it to be the cause
@@ -355,28 +356,40 @@
 	}
 }
 
-// isolated reports whether the task is to run alone.
+// isolated reports whether the task is to run on a worker that is reserved for its job.
 func (t *task) isolated() bool { return len(t.crashes) >= isolationCrashes }
 
+// sharesWorker reports whether the task, although isolated, does not wait any longer for a worker that runs nothing else.
+func (t *task) sharesWorker() bool { return t.reservationLapsed }
+
 // mayStart reports whether the task may start on the worker as far as crashes are concerned. Those that are known must be stored, since this
 // owner may be cut off, and its successor would know of none. A task that is to run alone needs a worker that is reserved for its job and runs
-// nothing else, and its trial there must be stored too.
+// nothing else, unless the last one did not become free in time, and its trial there must be stored too.
 func (w *worker) mayStart(t *task) bool {
 	job := t.stage.job
 	switch {
 	case job.savedVersion < t.crashVersion:
 		return false
 	case t.isolated():
-		return w.reservedFor == job.ID && w.hostsOnly(job.ID) && t.hasTrialOn(w) && job.savedVersion >= t.trial.version
+		alone := w.reservedFor == job.ID && w.hostsOnly(job.ID)
+		return (alone || t.sharesWorker() && w.servesJob(job.ID)) && t.trialStoredOn(w)
 	}
-	return w.reservedFor == "" || w.reservedFor == job.ID
+	return w.servesJob(job.ID)
 }
 
+// servesJob reports whether the worker is not reserved for another job.
+func (w *worker) servesJob(id string) bool { return w.reservedFor == "" || w.reservedFor == id }
+
 // hasTrialOn reports whether the task has a trial on the worker's present incarnation.
 func (t *task) hasTrialOn(w *worker) bool {
 	return t.trial != nil && t.trial.equal(w.crash(w.StartedAt))
 }
 
+// trialStoredOn reports whether the task's trial on the worker's present incarnation is stored.
+func (t *task) trialStoredOn(w *worker) bool {
+	return t.hasTrialOn(w) && t.stage.job.savedVersion >= t.trial.version
+}
+
 // beginTrial notes that the task's next run is to be on the worker. It may start once that is stored.
 func (s *State) beginTrial(t *task, w *worker) {
 	if t.hasTrialOn(w) {
@@ -417,7 +430,7 @@
 }
 
 // planIsolation counts the suspects on each worker and reserves workers for the tasks that are to run alone. A reserved worker gets no
-// tasks of other jobs; it is used once those that it has are done.
+// tasks of other jobs; it is used once those that it has are done, or left to the other jobs again if that takes too long.
 func (s *State) planIsolation(now time.Time, pools map[string][]*worker) {
 	if len(s.suspectJobs) == 0 && !s.isolating {
 		return
@@ -436,8 +449,12 @@
 			case t.run != nil:
 				w := t.run.worker
 				w.suspects++
-				if t.isolated() && w.hostsOnly(id) {
+				switch {
+				case !t.isolated() || !w.hostsOnly(id):
+				case now.Sub(t.run.since) < trialTime:
 					hosts[w] = id
+				case w.reservedFor == id:
+					w.endReservation(now)
 				}
 			case t.stage.queued && t.isolated():
 				if t.trial != nil && t.trial.inherited && s.workers[t.trial.Worker] != nil && now.Sub(s.began) < settleTrialTime {
@@ -455,8 +472,11 @@
 		switch job, hosting := hosts[w]; {
 		case hosting:
 			w.reservedFor, w.reservedAt = job, now
-		case waiting[w.reservedFor] == 0, !w.usable(now), now.Sub(w.reservedAt) >= reservationTime:
+		case waiting[w.reservedFor] == 0, !w.usable(now):
 			w.reservedFor = ""
+		case now.Sub(w.reservedAt) >= reservationTime:
+			s.reservationLapsed(w, tasks)
+			w.endReservation(now)
 		}
 	}
 	slices.SortFunc(tasks, func(a, b *task) int {
@@ -468,44 +488,77 @@
 	}
 }
 
+// endReservation leaves a worker to all jobs for a while.
+func (w *worker) endReservation(now time.Time) {
+	w.reservedFor, w.notReservedBefore = "", now.Add(reservationTime)
+}
+
+// reservationLapsed lets the waiting tasks whose trials were to be on the worker share one, since it did not become free in time.
+func (s *State) reservationLapsed(w *worker, waiting []*task) {
+	for _, t := range waiting {
+		if t.stage.job.ID == w.reservedFor && t.trialStoredOn(w) {
+			t.reservationLapsed = true
+			s.logDecision("ReservationEnded", t.id(), w.ID, "NotFreeInTime", t.lastRun)
+		}
+	}
+}
+
 // reserveWorker reserves one of the workers for a task that waits to run alone, unless one that is reserved for its job has room for it.
-// At most half of the workers of a pool are reserved.
+// At most half of the workers of a pool are reserved. For a task that shares a worker it chooses one with room, without reserving it.
 func (s *State) reserveWorker(now time.Time, t *task, workers []*worker, room map[*worker]Size) {
 	st, q := t.stage, s.config.Queues[t.stage.job.Queue]
-	size := st.step.reserved()
+	size, runsPerWorker := st.step.reserved(), st.runsPerWorker()
 	reserved := 0
 	var best *worker
 	var bestRoom Size
+	var bestExcess int
+	crowded := false
 	for _, w := range workers {
-		if w.reservedFor != "" {
-			reserved++
-			if w.reservedFor != st.job.ID {
-				continue
-			}
+		reserved += boolInt(w.reservedFor != "")
+		if !w.servesJob(st.job.ID) || w.reservedFor == "" && !t.sharesWorker() && now.Before(w.notReservedBefore) {
+			continue
 		}
 		left, known := room[w]
-		if !known {
+		switch {
+		case known:
+		case t.sharesWorker():
+			left = w.free()
+		default:
 			left = w.roomBesides(st.job.ID)
 		}
-		if !size.Fits(left) || !st.allowed(now, q, w) {
+		if !size.Fits(left) || !t.mayRunOn(now, q, w, runsPerWorker) {
 			continue
 		}
-		if w.reservedFor == st.job.ID {
+		excess := st.excessOn(w, runsPerWorker)
+		if excess > 0 && !t.mayExceedSpread(now) {
+			crowded = true
+			continue
+		}
+		if w.reservedFor == st.job.ID || t.sharesWorker() && t.hasTrialOn(w) {
 			room[w] = left.Sub(size)
 			s.beginTrial(t, w)
 			return
 		}
-		if best == nil || s.compareForIsolation(now, t, w, best) < 0 {
-			best, bestRoom = w, left
+		if best == nil || cmp.Or(cmp.Compare(excess, bestExcess), s.compareForIsolation(now, t, w, best)) < 0 {
+			best, bestRoom, bestExcess = w, left, excess
 		}
 	}
-	if best == nil || reserved >= max(1, len(workers)/2) {
+	switch {
+	case best == nil:
+		if crowded {
+			t.waitForSpread(now)
+		}
+		return
+	case t.sharesWorker():
+		s.logDecision("Shared", t.id(), best.ID, t.describeCrashes(), t.lastRun)
+	case reserved >= max(1, len(workers)/2):
 		return
+	default:
+		best.reservedFor, best.reservedAt = st.job.ID, now
+		s.logDecision("Reserved", t.id(), best.ID, t.describeCrashes(), t.lastRun)
 	}
-	best.reservedFor, best.reservedAt = st.job.ID, now
 	room[best] = bestRoom.Sub(size)
 	s.beginTrial(t, best)
-	s.logDecision("Reserved", t.id(), best.ID, t.describeCrashes(), t.lastRun)
 }
 
 // roomBesides returns the capacity that the worker has for a job's waiting tasks once the batch tasks of other jobs are done.
--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -115,6 +115,8 @@
 	suspects        int           // runs of tasks under which workers have crashed, as of the last placement
 	reservedFor     string        // id of the job whose tasks are to run alone there
 	reservedAt      time.Time
+	// notReservedBefore is set when a reservation has ended without use.
+	notReservedBefore time.Time
 }
 
 // recentStart is a start that was ordered lately.
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -234,6 +234,16 @@
 	return st.allowed(now, q, w) && runsPerWorker[w.ID] < st.step.workerLimit()
 }
 
+// mayRunOn reports whether the task may run on a worker whatever room it has. The spread limit and the isolation of suspects restrict it further.
+func (t *task) mayRunOn(now time.Time, q Queue, w *worker, runsPerWorker map[string]int) bool {
+	return t.stage.mayRunOn(now, q, w, runsPerWorker) && w.runs[t.id()] == nil
+}
+
+// excessOn returns the number of tasks by which one more of the stage on the worker exceeds the spread limit.
+func (st *stage) excessOn(w *worker, runsPerWorker map[string]int) int {
+	return max(0, runsPerWorker[w.ID]+1-st.step.spreadLimit())
+}
+
 // chooseWorker returns the worker on which to start a task, or nil if none has room.
 //
 // It keeps within the spread limit unless the task has waited for spreadWait, avoids workers on which the task failed, then prefers the rack of the data, then the worker with the fewest suspects of crashes. Of
@@ -241,15 +251,15 @@
 // takes the lowest, so that its crash would end few runs.
 func (s *State) chooseWorker(now time.Time, t *task, q Queue, workers []*worker, perWorker map[string]int) *worker {
 	st := t.stage
-	size, spreadLimit := st.step.reserved(), st.step.spreadLimit()
+	size := st.step.reserved()
 	var best *worker
 	var bestScore score
 	crowded := false // only the spread limit keeps the task off some worker
 	for _, w := range workers {
-		if !size.Fits(w.free()) || !st.mayRunOn(now, q, w, perWorker) || w.runs[t.id()] != nil || !w.mayStart(t) {
+		if !size.Fits(w.free()) || !t.mayRunOn(now, q, w, perWorker) || !w.mayStart(t) {
 			continue
 		}
-		excess := max(0, perWorker[w.ID]+1-spreadLimit)
+		excess := st.excessOn(w, perWorker)
 		if excess > 0 && !t.mayExceedSpread(now) {
 			crowded = true
 			continue
@@ -383,7 +393,7 @@
 	st := t.stage
 	r := &run{id: t.id(), task: t, number: number, phase: starting, size: st.step.reserved(), since: now, saved: t.saved, pace: fullPercent}
 	t.run, t.lastRun = r, number
-	t.waitsAloneSince, t.waitsForSpreadSince = time.Time{}, time.Time{}
+	t.waitsAloneSince, t.waitsForSpreadSince, t.reservationLapsed = time.Time{}, time.Time{}, false
 	w.suspects += boolInt(len(t.crashes) > 0)
 	s.reserve(w, r)
 	w.recordStart(now, r)
--- /dev/null
+++ b/core/sched/reservation_test.go
@@ -0,0 +1,103 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// lostAfter is the time after which a task that could run counts as lost: 3 s from 6 s after its last run, or from the end of the traffic.
+const lostAfter = 9 * time.Second
+
+// crashUnder crashes the workers on which a task runs, once each time that it runs, and waits until it has run so often.
+func (w *simulation) crashUnder(id TaskID, times int) {
+	w.t.Helper()
+	for range times {
+		must.True(w.t, w.awaitRun(id, 10*time.Second))
+		w.run(200 * time.Millisecond)
+		w.crash(w.runsOf(id.Job)[id])
+	}
+}
+
+// awaitRun runs the simulation until a task runs, at most for a time, and reports whether it does.
+func (w *simulation) awaitRun(id TaskID, most time.Duration) bool {
+	for end := w.now.Add(most); w.now.Before(end); w.run(simStep) {
+		if w.runsOf(id.Job)[id] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// TestReservedWorkerServesOtherJobs guards against LOST: a worker was reserved for ever for a task that can't start there, and other jobs that need the worker never ran.
+func TestReservedWorkerServesOtherJobs(t *testing.T) {
+	const longRun = 40 * time.Second
+	labelled := func(j Job) Job {
+		j.Steps[0].RequiredLabel = "b"
+		return j
+	}
+	onEach := func(workers int) Job {
+		j := labelled(batch("other", "p", workers, 1000, 1))
+		j.Steps[0].MaxPerWorker = 1
+		return j
+	}
+	cases := []struct {
+		name    string
+		workers int
+		others  []Job // jobs that run on the workers with the label, for longRun
+		suspect Job
+		crashes int
+		gone    bool // the last worker to crash does not come back
+	}{
+		{"beside its sibling", 2, nil, labelled(longRunningJob("suspect", "p", 2)), 2, true},
+		{"beside a long batch task", 2, []Job{onEach(2)}, labelled(batch("suspect", "p", 1, 900, 1)), 2, false},
+		{"on the only worker", 1, []Job{onEach(1)}, labelled(batch("suspect", "p", 1, 900, 1)), 2, false},
+		{"while it runs alone for long", 1, nil, labelled(batch("suspect", "p", 1, 900, 1)), 2, false},
+		{"beside its siblings on all workers", 2, nil, labelled(spreadJob(4)), 2, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newSimulation(t, 1, map[string]int{"p": 6})
+			label := func() {
+				for _, x := range w.workers {
+					if n := machineOf(x); n < fmt.Sprintf("m%02d", c.workers) && !slices.Contains(x.Labels, "b") {
+						x.Labels = append(x.Labels, "b")
+					}
+				}
+			}
+			w.repeat(simStep, label)
+			w.runTime = func(id TaskID) time.Duration {
+				if id.Job == "short" {
+					return 500 * time.Millisecond
+				}
+				return longRun
+			}
+			w.run(settleTime)
+			id := TaskID{Job: c.suspect.ID}
+			w.submit(c.suspect)
+			w.crashUnder(id, c.crashes-1)
+			for _, j := range c.others {
+				w.submit(j)
+			}
+			w.crashUnder(id, 1)
+			if c.gone {
+				for m := range w.pools {
+					if m < fmt.Sprintf("m%02d", c.workers) && w.workerOn(m) == nil {
+						delete(w.pools, m)
+						break
+					}
+				}
+			}
+			w.run(2 * crashDowntime)
+			w.submit(labelled(batch("short", "p", 1, 900, 1)))
+			must.True(t, w.awaitRun(TaskID{Job: "short"}, lostAfter), must.Sprint("short: ", w.trace))
+			if !c.gone || c.suspect.Steps[0].MaxPerWorker == 0 {
+				must.True(t, w.runsOf(id.Job)[id] != nil || w.awaitRun(id, 2*lostAfter), must.Sprint("suspect: ", w.trace))
+			}
+			must.SliceEmpty(t, w.violations)
+		})
+	}
+}
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -131,6 +131,8 @@
 	crashVersion    uint64    // version of the job's progress that holds the last of them
 	trial           *trial    // set from its storing to the known end of a run alone
 	waitsAloneSince time.Time // since when it waits for a worker of its own
+	// reservationLapsed is set if a worker that was reserved for it since its last start did not become free in time.
+	reservationLapsed bool
 	// waitsForSpreadSince is when the spread limit of its step first kept it off all workers with room.
 	waitsForSpreadSince time.Time
 }
