Let a machine that a wave has chosen take tasks again if it is held too long

Shown in the simulation, reported by nobody: a wave kept a worker free on which alone a long-running task had room, and waited for that task (LOST). A chosen machine that must not go down for the time of another machine's maintenance takes tasks again.

TestHeldMachineTakesTasksAgain failed before.

--- a/core/sched/reservation_test.go
+++ b/core/sched/reservation_test.go
@@ -101,3 +101,31 @@
 		})
 	}
 }
+
+// TestHeldMachineTakesTasksAgain guards against LOST: a wave kept a worker free on which alone a long-running task could start, and waited for that task.
+func TestHeldMachineTakesTasksAgain(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 2})
+	w.runTime = func(TaskID) time.Duration { return 2 * time.Second }
+	w.run(settleTime)
+	w.submit(longRunningJob("l", "p", 2))
+	w.jobs["l"].Steps[0].MaxPerWorker = 0
+	w.run(time.Second)
+	w.submit(batch("j", "p", 2, 900, 1))
+	w.run(100 * time.Millisecond)
+	wave := Wave{Number: 1, TimeLimit: time.Minute, MaxDown: 1, Machines: []string{"m00"}}
+	w.owner.state.AddWave(w.now, wave)
+	w.run(100 * time.Millisecond)
+	must.True(t, w.owner.state.workers[w.workers[0].ID].cordoned)
+	must.MapLen(t, 0, w.maintained)
+	w.crash(w.workers[1])
+	delete(w.pools, "m01")
+	w.run(lostAfter)
+	must.Eq(t, 2, w.runningTasks("l"), must.Sprint(w.trace))
+	must.SliceEmpty(t, w.violations)
+	w.pools["m01"] = "p"
+	w.addWorker("m01")
+	w.run(wave.TimeLimit)
+	must.True(t, w.waves[1].Completed)
+	must.Eq(t, 2, w.runningTasks("l"))
+	must.SliceEmpty(t, w.violations)
+}
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -37,6 +37,8 @@
 	unconfirmed bool      // an order got no answer and may have been executed
 	orderedAt   time.Time // when an order was last sent or answered
 	chosenAt    time.Time // when the machine was chosen; its worker takes no new tasks from then on
+	heldSince   time.Time // since when the chosen machine must not go down; zero if it may
+	emptying    bool      // a task was stopped since the choice, because too many of its step run there
 	retryAt     time.Time
 	lastLogged  time.Time // when the reason for its waiting was last logged
 }
@@ -265,7 +267,12 @@
 			}
 		}
 		if !p.unconfirmed && !spare {
-			s.stopExcessTask(now, s.workers[m.Worker])
+			p.emptying = s.stopExcessTask(now, s.workers[m.Worker]) || p.emptying
+			if s.heldTooLong(now, p, s.workers[m.Worker]) {
+				s.unchoose(now, w, p)
+				chosen--
+				continue
+			}
 		}
 		s.logWaiting(now, w, p)
 		if now.Before(p.retryAt) || !p.unconfirmed && down >= w.MaxDown || !p.unconfirmed && !spare && !s.mayTakeDown(now, s.workers[m.Worker], now.Sub(p.chosenAt) < batchDrainTimeout) {
@@ -460,10 +467,10 @@
 }
 
 // stopExcessTask prepares a worker for maintenance when it runs more tasks of a long-running step than may be unavailable
-// at once. It stops one of them, which then starts on another worker, and only while all other tasks are available.
-func (s *State) stopExcessTask(now time.Time, w *worker) {
+// at once. It stops one of them, which then starts on another worker, and only while all other tasks are available. It reports whether it did.
+func (s *State) stopExcessTask(now time.Time, w *worker) (stopped bool) {
 	if !w.crowded() {
-		return
+		return false
 	}
 	taken := make(map[*stage]int)
 	for _, r := range w.sortedRuns() {
@@ -477,8 +484,35 @@
 			r.phase = stopping
 			w.requestScan()
 			s.logDecision("Stop", r.id, w.ID, "UpkeepDue", r.number)
+			stopped = true
 		}
 	}
+	return stopped
+}
+
+// heldTooLong reports whether a chosen machine has waited too long for tasks that are unavailable elsewhere. Some of them may have room there
+// only.
+func (s *State) heldTooLong(now time.Time, p *waveMachine, w *worker) bool {
+	if w == nil || s.mayTakeDown(now, w, false) {
+		p.heldSince = time.Time{}
+		return false
+	}
+	if p.heldSince.IsZero() {
+		p.heldSince = now
+	}
+	limit := s.maintenanceCycle() // another machine of the wave may be down with them
+	if p.emptying {
+		limit += spreadWait
+	}
+	return now.Sub(p.heldSince) >= limit
+}
+
+// unchoose lets a chosen machine take tasks again.
+func (s *State) unchoose(now time.Time, w *wave, p *waveMachine) {
+	wk := s.workers[s.machines[p.machine].Worker]
+	s.logDecision("Uncordoned", TaskID{}, wk.ID, p.machine+" "+s.maintenanceBlocker(now, wk, false), w.Number)
+	p.chosenAt, p.heldSince, p.emptying = time.Time{}, time.Time{}, false
+	s.uncordon(p.machine)
 }
 
 // hasPlaceBeside reports whether a worker other than w has room for one more task of the stage.
