Count no crash against a task that its worker never began

A start that another incarnation refuses is no suspect now, also if a poll tells the worker's end first (CrashRetracted). A task is judged 1 s after the crash that incriminates it, and does not start meanwhile; a successor judges the crashes that it inherits.

--- a/core/sched/crash.go
+++ b/core/sched/crash.go
@@ -18,6 +18,7 @@
 	isolationCrashes = 2                // crashes after which a task runs alone
 	reservationTime  = 4 * time.Second  // a worker that is not free for a task by then serves all jobs again for at least as long
 	trialTime        = 8 * time.Second  // for which a worker is kept for a run alone
+	verdictDelay     = time.Second      // before a job is given up, in which answers and other crashes may still clear its task
 	settleTrialTime  = 15 * time.Second // after which the outcome of a trial of an earlier owner is not awaited any more
 	trialExposure    = 4 * time.Second  // for which nobody saw the worker of such a trial
 	maxChance        = 1e-3             // probability of being chance from which the crashes under a task prove it to be the cause
@@ -133,9 +134,7 @@
 	}
 	s.recentCrashes = slices.DeleteFunc(s.recentCrashes, func(r recentCrash) bool { return now.Sub(r.at) > crashWindow || r.equal(c) })
 	s.recentCrashes = append(s.recentCrashes, recent)
-	for _, r := range suspected {
-		s.judge(now, r.task)
-	}
+	s.placementChanged = true // for the verdicts
 }
 
 // suspectedRuns returns those of the runs that may have crashed the worker. It remembers the runs of jobs whose records have not been read.
@@ -145,7 +144,7 @@
 		switch a := s.announced[r.id.Job]; {
 		case r.awaited && a != nil:
 			a.crashes = append(a.crashes, awaitedCrash{r.id, r.number, w.crash(startedAt), s.chanceOfCrash(now, w, r)})
-		case r.task != nil && !w.provenHarmless(r):
+		case r.task != nil && !r.neverBegan && !w.provenHarmless(r):
 			suspected = append(suspected, suspectedRun{r.task, r.number, w.crash(startedAt), s.chanceOfCrash(now, w, r)})
 		}
 	}
@@ -302,11 +301,23 @@
 	return chance
 }
 
-// judge ends a task's job as failed if the crashes under the task can hardly be chance. It takes one more of them than isolate the task. They
-// prove nothing against the other suspects then.
+// incriminated reports whether the crashes under the task can hardly be chance. It takes one more of them than isolate the task.
+func (t *task) incriminated() bool {
+	return len(t.crashes) > isolationCrashes && t.chance() <= maxChance
+}
+
+// judge ends a task's job as failed once the task has been incriminated for verdictDelay. The crashes prove nothing against the other
+// suspects then.
 func (s *State) judge(now time.Time, t *task) {
 	j := t.stage.job
-	if j.state.Final() || len(t.crashes) <= isolationCrashes || t.chance() > maxChance {
+	switch {
+	case j.state.Final() || !t.incriminated():
+		t.incriminatedAt = time.Time{}
+		return
+	case t.incriminatedAt.IsZero():
+		t.incriminatedAt = now
+		return
+	case now.Sub(t.incriminatedAt) < verdictDelay:
 		return
 	}
 	s.logDecision("JobFailed", t.id(), t.crashes[len(t.crashes)-1].Worker, "CrashesWorkers: "+t.describeCrashes(), t.lastRun)
@@ -316,6 +327,27 @@
 	}
 }
 
+// retractCrash takes a crash back that was counted against a run, since the worker has not begun the run.
+func (s *State) retractCrash(id TaskID, number int64, worker string) {
+	t := s.find(id)
+	if t == nil {
+		return
+	}
+	i := slices.IndexFunc(t.crashes, func(c CrashedRun) bool { return c.Run == number && c.Worker == worker })
+	if i < 0 {
+		return
+	}
+	for n := range s.recentCrashes {
+		if c := &s.recentCrashes[n]; c.equal(t.crashes[i].Crash) {
+			c.tasks = slices.DeleteFunc(c.tasks, func(other *task) bool { return other == t })
+		}
+	}
+	t.crashes = slices.Delete(t.crashes, i, i+1)
+	s.markDirty(t.stage.job)
+	s.placementChanged = true
+	s.logDecision("CrashRetracted", id, worker, "NeverBegan; "+t.describeCrashes(), number)
+}
+
 // explainCrash notes that the cause of a crash is known, so that it proves nothing against the other tasks that ran there.
 func (s *State) explainCrash(c Crash) {
 	s.recentCrashes = slices.DeleteFunc(s.recentCrashes, func(r recentCrash) bool { return r.equal(c) })
@@ -337,9 +369,14 @@
 	s.placementChanged = true
 }
 
-// reviewSuspects forgets the crashes of tasks that have ended and of long-running tasks that have proved harmless since.
-func (s *State) reviewSuspects() {
-	for id, j := range s.suspectJobs {
+// reviewSuspects judges the tasks under which workers have crashed, and forgets the crashes of tasks that have ended and of long-running tasks
+// that have proved harmless since.
+func (s *State) reviewSuspects(now time.Time) {
+	for _, id := range sortedKeys(s.suspectJobs) {
+		j := s.suspectJobs[id]
+		for _, t := range j.suspects {
+			s.judge(now, t)
+		}
 		if !j.state.Final() {
 			for _, t := range j.suspects {
 				if r := t.run; r != nil && len(t.crashes) > 0 && r.worker.provenHarmless(r) {
@@ -368,7 +405,7 @@
 func (w *worker) mayStart(t *task) bool {
 	job := t.stage.job
 	switch {
-	case job.savedVersion < t.crashVersion:
+	case job.savedVersion < t.crashVersion || t.incriminated():
 		return false
 	case t.isolated():
 		alone := w.reservedFor == job.ID && w.hostsOnly(job.ID)
@@ -435,7 +472,7 @@
 	if len(s.suspectJobs) == 0 && !s.isolating {
 		return
 	}
-	s.reviewSuspects()
+	s.reviewSuspects(now)
 	s.isolating = len(s.suspectJobs) > 0
 	for _, w := range s.workers {
 		w.suspects = 0
@@ -456,7 +493,7 @@
 				case w.reservedFor == id:
 					w.endReservation(now)
 				}
-			case t.stage.queued && t.isolated():
+			case t.stage.queued && t.isolated() && !t.incriminated():
 				if t.trial != nil && t.trial.inherited && s.workers[t.trial.Worker] != nil && now.Sub(s.began) < settleTrialTime {
 					continue // its outcome is not known
 				}
--- a/core/sched/crash_test.go
+++ b/core/sched/crash_test.go
@@ -319,3 +319,71 @@
 		})
 	}
 }
+
+// refusingWorkers returns an owner with a number of idle workers, and a function that plans with all records stored.
+func refusingWorkers(t *testing.T, now time.Time, workers int) (s *State, plan func(now time.Time) Orders) {
+	t.Helper()
+	s, _ = successor(t, now)
+	var list []Worker
+	for i := range workers {
+		list = append(list, Worker{ID: fmt.Sprint("w", i), Pool: "p", Capacity: Size{Processors: 16000, MemoryMB: 32768}, StartedAt: now})
+	}
+	s.SetWorkers(now, list)
+	plan = func(now time.Time) Orders {
+		s.SetWorkers(now, list)
+		o := s.Plan(now)
+		for _, r := range o.Roster {
+			s.RosterSaved(r)
+		}
+		for _, save := range o.Saves {
+			s.Saved(save.Job, save.Version)
+		}
+		return o
+	}
+	for _, w := range list {
+		s.PollAnswered(now, w.ID, PollResult{Answer: Executed, Sent: now, StartedAt: now})
+	}
+	plan(now)
+	return s, plan
+}
+
+// TestTaskThatNeverBeganIsNotBlamed guards against LOST: a job was given up since three starts in a row reached workers that had ended before.
+func TestTaskThatNeverBeganIsNotBlamed(t *testing.T) {
+	const workers = 5
+	orders := []struct {
+		name    string
+		answers func(s *State, now time.Time, start Start)
+	}{
+		{"the start is answered first", func(s *State, now time.Time, start Start) {
+			s.StartAnswered(now, start, WrongIncarnation)
+			s.PollAnswered(now, start.Worker, PollResult{Answer: WrongIncarnation, Sent: now})
+		}},
+		{"the poll is answered first", func(s *State, now time.Time, start Start) {
+			s.PollAnswered(now, start.Worker, PollResult{Answer: WrongIncarnation, Sent: now})
+			s.StartAnswered(now, start, WrongIncarnation)
+		}},
+	}
+	for _, c := range orders {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1_700_000_000, 0)
+			s, plan := refusingWorkers(t, now, workers)
+			s.AddJob(now, batch("j", "p", 1, 900, 1), Progress{}, false)
+			refused := 0
+			for range 100 {
+				now = now.Add(100 * time.Millisecond)
+				for _, start := range plan(now).Starts {
+					if refused == workers-1 {
+						s.StartAnswered(now, start, Executed)
+						continue
+					}
+					refused++
+					c.answers(s, now, start)
+				}
+			}
+			must.Eq(t, workers-1, refused)
+			must.Eq(t, Running, s.jobs["j"].state)
+			must.NotNil(t, s.find(TaskID{Job: "j"}).run)
+			must.SliceEmpty(t, s.find(TaskID{Job: "j"}).crashes)
+		})
+	}
+}
--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -171,6 +171,7 @@
 	pace             int           // share of its processors, in percent, that was ordered last; -1 when unknown
 	pacedAt          time.Time     // when the pace was ordered
 	keepUntil        time.Time     // before then the end of the leases is no reason to release the run
+	neverBegan       bool          // another incarnation refused its start
 	suspected        *suspectedRun // set if the incarnation to which the start was sent has crashed; nil once a later one shows the run
 }
 
--- a/core/sched/poll.go
+++ b/core/sched/poll.go
@@ -96,7 +96,6 @@
 		s.logDecision("Missing", r.id, w.ID, "NotListedAfterStop", r.number)
 		if r.suspected != nil && r.task != nil {
 			s.suspect(*r.suspected)
-			s.judge(now, r.task)
 		}
 		s.release(r)
 	}
@@ -289,13 +288,19 @@
 // StartAnswered handles the outcome of a start.
 func (s *State) StartAnswered(now time.Time, order Start, answer Answer) {
 	w := s.workers[order.Worker]
-	if w == nil {
-		return
+	var r *run
+	if w != nil {
+		r = w.runs[order.Task]
 	}
-	r := w.runs[order.Task]
 	if r == nil || r.number != order.Run || r.phase != starting {
-		if answer == StaleToken {
+		switch answer {
+		case StaleToken:
 			s.fencedOff = true
+		case WrongIncarnation:
+			if r != nil && r.number == order.Run {
+				r.neverBegan = true
+			}
+			s.retractCrash(order.Task, order.Run, order.Worker) // the end of the worker may be known already
 		}
 		return
 	}
@@ -312,6 +317,7 @@
 		s.fencedOff = true
 		return
 	case WrongIncarnation:
+		r.neverBegan = true
 		s.releaseAll(now, w)
 		return
 	case Unhealthy:
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -129,6 +129,7 @@
 	// crashes are those of workers that ran the task.
 	crashes         []CrashedRun
 	crashVersion    uint64    // version of the job's progress that holds the last of them
+	incriminatedAt  time.Time // since when they can hardly be chance; zero if they can
 	trial           *trial    // set from its storing to the known end of a run alone
 	waitsAloneSince time.Time // since when it waits for a worker of its own
 	// reservationLapsed is set if a worker that was reserved for it since its last start did not become free in time.
--- a/io/node/resend.go
+++ b/io/node/resend.go
@@ -218,7 +218,7 @@
 		return a
 	}
 	switch a {
-	case sched.Executed, sched.StaleToken, sched.WrongIncarnation:
+	case sched.Executed, sched.StaleToken:
 		return a
 	case sched.Superseded:
 		return sched.Executed
