Weigh crashes together whose first signs come at the same time

A job whose task was struck three times when a quarter of its pool was lost at once was given up: each crash counted as if it had come alone, with a chance of about 0.01. What takes many workers down is none of their tasks. Crashes whose first signs come within 0.75 s in a pool, more than two beyond those that earlier suspects explain, now raise each other's chance by their share of the pool.

--- a/core/sched/announce.go
+++ b/core/sched/announce.go
@@ -104,7 +104,7 @@
 	}
 	for _, c := range a.crashes {
 		if t := s.find(c.task); t != nil {
-			s.suspect(suspectedRun{t, c.number, c.crash, c.chance})
+			s.suspectLate(suspectedRun{t, c.number, c.crash, c.chance})
 		}
 	}
 	if a.cancelled {
--- a/core/sched/crash.go
+++ b/core/sched/crash.go
@@ -25,7 +25,10 @@
 	priorGuilt       = 0.01             // probability that a task of which nothing is known crashes its worker
 	probation        = 3 * time.Second  // a long-running task that has run for longer is not the cause of a crash
 	crashWindow      = 8 * time.Second  // over which the rate of crashes is taken
-	lapsedRunMemory  = 30 * time.Second // for which the lapsed runs of a silent worker are kept, in case it turns out to have crashed
+
+	coincidenceWindow = 750 * time.Millisecond // in which the first signs of crashes with a common cause come
+	separateCauses    = 2                      // number of crashes in that time that need no common cause
+	lapsedRunMemory   = 30 * time.Second       // for which the lapsed runs of a silent worker are kept, in case it turns out to have crashed
 
 	// The rate of crashes begins with priorCrashes in priorExposure of one worker, before any are known.
 	priorCrashes  = 0.25
@@ -60,9 +63,14 @@
 // recentCrash is a crash of the last crashWindow that no failed job explains.
 type recentCrash struct {
 	Crash
-	pool  string
-	at    time.Time
-	tasks []*task // that ran there
+	pool string
+	at   time.Time
+	runs []suspectedRun // that it had
+}
+
+// struck reports whether the crash struck a run of the task.
+func (c recentCrash) struck(t *task) bool {
+	return slices.ContainsFunc(c.runs, func(r suspectedRun) bool { return r.task == t })
 }
 
 // suspectedRun is a run that may have crashed its worker.
@@ -122,21 +130,85 @@
 	for _, t := range s.inheritedTrials(w.crash(startedAt)) {
 		suspected = append(suspected, suspectedRun{t, t.trial.Run, t.trial.Crash, min(1, s.crashRate(now, w, t)*trialExposure.Seconds())})
 	}
-	s.countCrash(now, w.Pool, w.crash(startedAt), suspected)
+	at := now
+	if !w.silentSince.IsZero() {
+		at = w.silentSince
+	}
+	s.countCrash(now, at, w.Pool, w.crash(startedAt), suspected)
 }
 
-// countCrash counts a crash against the tasks of the suspected runs.
-func (s *State) countCrash(now time.Time, pool string, c Crash, suspected []suspectedRun) {
-	recent := recentCrash{Crash: c, pool: pool, at: now}
+// countCrash counts a crash, of which the first sign came at the given time, against the tasks of the suspected runs.
+func (s *State) countCrash(now, at time.Time, pool string, c Crash, suspected []suspectedRun) {
+	recent := recentCrash{Crash: c, pool: pool, at: at, runs: suspected}
 	for _, r := range suspected {
 		s.suspect(r)
-		recent.tasks = append(recent.tasks, r.task)
 	}
 	s.recentCrashes = slices.DeleteFunc(s.recentCrashes, func(r recentCrash) bool { return now.Sub(r.at) > crashWindow || r.equal(c) })
 	s.recentCrashes = append(s.recentCrashes, recent)
+	s.weighCoincidence(at, pool)
 	s.placementChanged = true // for the verdicts
 }
 
+// suspectLate counts a crash against the task of a run of which it became known later that the crash struck it.
+func (s *State) suspectLate(r suspectedRun) {
+	s.suspect(r)
+	for i := range s.recentCrashes {
+		if c := &s.recentCrashes[i]; c.equal(r.crash) {
+			c.runs = append(c.runs, r)
+			s.weighCoincidence(c.at, c.pool)
+			return
+		}
+	}
+}
+
+// weighCoincidence raises the probability that the crashes whose first signs came in a pool at about the given time struck their runs by chance: a common cause that
+// takes down a share of the workers strikes a run with that probability, however short it has run. Only workers that ran no earlier suspect show such a cause;
+// several tasks that crash their workers would look alike.
+func (s *State) weighCoincidence(at time.Time, pool string) {
+	var together []recentCrash
+	unexplained, underTask := 0, make(map[*task]int)
+	for _, c := range s.recentCrashes {
+		if c.pool != pool || c.at.Sub(at).Abs() > coincidenceWindow {
+			continue
+		}
+		together = append(together, c)
+		if slices.ContainsFunc(c.runs, func(r suspectedRun) bool { return len(r.task.crashes) > 1 }) {
+			continue
+		}
+		unexplained++
+		for _, r := range c.runs {
+			underTask[r.task]++
+		}
+	}
+	workers := max(len(together), s.workersIn(pool))
+	for _, c := range together {
+		for _, r := range c.runs {
+			if others := unexplained - underTask[r.task]; others > separateCauses {
+				s.raiseChance(r, min(1, r.chance+float64(others-separateCauses)/float64(workers)))
+			}
+		}
+	}
+}
+
+// raiseChance raises the probability that a crash struck a run by chance, if the crash counts against its task.
+func (s *State) raiseChance(r suspectedRun, chance float64) {
+	i := slices.IndexFunc(r.task.crashes, func(c CrashedRun) bool { return c.Run == r.number && c.equal(r.crash) })
+	if i < 0 || chance <= r.task.crashes[i].Chance {
+		return
+	}
+	r.task.crashes[i].Chance = chance
+	s.markDirty(r.task.stage.job)
+}
+
+// workersIn returns the number of known workers of a pool.
+func (s *State) workersIn(pool string) int {
+	n := 0
+	for _, w := range s.workers {
+		n += boolInt(w.Pool == pool)
+	}
+	return n
+}
+
 // suspectedRuns returns those of the runs that may have crashed the worker. It remembers the runs of jobs whose records have not been read.
 func (s *State) suspectedRuns(now time.Time, w *worker, startedAt time.Time, runs []*run) []suspectedRun {
 	var suspected []suspectedRun
@@ -179,7 +251,7 @@
 func (s *State) crashRate(now time.Time, w *worker, t *task) float64 {
 	inPool, onMachine := priorCrashes, 0.0
 	for _, c := range s.recentCrashes {
-		if now.Sub(c.at) > crashWindow || c.pool != w.Pool && c.Address != w.Address || slices.Contains(c.tasks, t) {
+		if now.Sub(c.at) > crashWindow || c.pool != w.Pool && c.Address != w.Address || c.struck(t) {
 			continue
 		}
 		byChance := c.byChance()
@@ -191,18 +263,14 @@
 		}
 	}
 	window := min(crashWindow, now.Sub(s.began)).Seconds()
-	workers := 0
-	for _, other := range s.workers {
-		workers += boolInt(other.Pool == w.Pool)
-	}
-	return max(inPool/(priorExposure.Seconds()+window*float64(workers)), onMachine/crashWindow.Seconds())
+	return max(inPool/(priorExposure.Seconds()+window*float64(s.workersIn(w.Pool))), onMachine/crashWindow.Seconds())
 }
 
 // byChance returns the probability that none of its tasks caused the crash, taking the most suspect one for the only suspect.
 func (c recentCrash) byChance() float64 {
 	guilt := 0.0
-	for _, t := range c.tasks {
-		guilt = max(guilt, t.guilt())
+	for _, r := range c.runs {
+		guilt = max(guilt, r.task.guilt())
 	}
 	return 1 - guilt
 }
@@ -241,7 +309,7 @@
 			if w := s.workers[id]; w != nil && s.endCause(w) != crashed || s.machines[l.machine].Unavailable {
 				continue
 			}
-			s.countCrash(now, l.pool, l.runs[0].crash, l.runs)
+			s.countCrash(now, l.since, l.pool, l.runs[0].crash, l.runs)
 		}
 	}
 }
@@ -339,7 +407,7 @@
 	}
 	for n := range s.recentCrashes {
 		if c := &s.recentCrashes[n]; c.equal(t.crashes[i].Crash) {
-			c.tasks = slices.DeleteFunc(c.tasks, func(other *task) bool { return other == t })
+			c.runs = slices.DeleteFunc(c.runs, func(r suspectedRun) bool { return r.task == t })
 		}
 	}
 	t.crashes = slices.Delete(t.crashes, i, i+1)
--- a/core/sched/crash_test.go
+++ b/core/sched/crash_test.go
@@ -387,3 +387,47 @@
 		})
 	}
 }
+
+// loseMany crashes a worker and, at the same time, others that are up, n in all.
+func (w *simulation) loseMany(x *simWorker, n int) {
+	w.crash(x)
+	for _, i := range w.random.Perm(len(w.workers)) {
+		if y := w.workers[i]; n > 1 && !y.down && !y.unreachable {
+			w.crash(y)
+			n--
+		}
+	}
+}
+
+// TestJobsOutliveTheLossOfManyWorkers guards against LOST: a job was given up since its tasks were struck whenever many workers were lost at once.
+func TestJobsOutliveTheLossOfManyWorkers(t *testing.T) {
+	const workers, lost = 20, 6
+	for seed := range uint64(20) {
+		w := newSimulation(t, seed, map[string]int{"p": workers})
+		w.crashesKeepIDs = seed%2 == 1
+		w.runTime = func(TaskID) time.Duration { return 2 * time.Second }
+		w.run(settleTime)
+		number := 0
+		w.repeat(100*time.Millisecond, func() { // enough work for most of the workers
+			number++
+			w.submit(batch(fmt.Sprint("a", number), "p", 2, 5000, 1))
+		})
+		w.run(2 * time.Second)
+		w.submit(batch("j", "p", 1, 5000, 1))
+		id, deadly := TaskID{Job: "j"}, TaskID{Job: "deadly", Index: 1}
+		w.deadly[deadly] = 10 * time.Millisecond
+		for i := range 3 {
+			must.True(t, w.awaitRun(id, 20*time.Second), must.Sprint(seed, " ", i))
+			w.run(100 * time.Millisecond)
+			w.loseMany(w.runsOf("j")[id], lost)
+			w.run(time.Second)
+			if i == 1 {
+				w.submit(batch("deadly", "p", 4, 900, 1))
+			}
+		}
+		w.finalStates(40*time.Second, []string{"j", "deadly"})
+		must.Eq(t, Completed, w.stored["j"].State, must.Sprint(seed))
+		must.Eq(t, Failed, w.stored["deadly"].State, must.Sprint(seed))
+		must.SliceEmpty(t, w.violations)
+	}
+}
--- a/core/sched/poll.go
+++ b/core/sched/poll.go
@@ -95,7 +95,7 @@
 		}
 		s.logDecision("Missing", r.id, w.ID, "NotListedAfterStop", r.number)
 		if r.suspected != nil && r.task != nil {
-			s.suspect(*r.suspected)
+			s.suspectLate(*r.suspected)
 		}
 		s.release(r)
 	}
