Store a trial only once it may begin

The trial was stored when the worker was reserved, up to 4 s before it was free, and the owner changed meanwhile. It is stored now when the worker runs nothing else, just before the start.

--- a/core/sched/crash.go
+++ b/core/sched/crash.go
@@ -161,9 +161,9 @@
 	}
 }
 
-// weighCoincidence raises the probability that the crashes whose first signs came in a pool at about the given time struck their runs by chance: a common cause that
-// takes down a share of the workers strikes a run with that probability, however short it has run. Only workers that ran no earlier suspect show such a cause;
-// several tasks that crash their workers would look alike.
+// weighCoincidence raises the probability that the crashes whose first signs came in a pool at about the given time struck their runs by
+// chance: a common cause that takes down a share of the workers strikes a run with that probability, however short it has run. Only workers
+// that ran no earlier suspect show such a cause; several tasks that crash their workers would look alike.
 func (s *State) weighCoincidence(at time.Time, pool string) {
 	var together []recentCrash
 	unexplained, underTask := 0, make(map[*task]int)
@@ -589,6 +589,7 @@
 	})
 	room := make(map[*worker]Size) // what a reserved worker has left for its job's waiting tasks
 	for _, t := range tasks {
+		t.awaitedWorker = ""
 		s.reserveWorker(now, t, pools[s.config.Queues[t.stage.job.Queue].Pool], room)
 	}
 }
@@ -598,10 +599,10 @@
 	w.reservedFor, w.notReservedBefore = "", now.Add(reservationTime)
 }
 
-// reservationLapsed lets the waiting tasks whose trials were to be on the worker share one, since it did not become free in time.
+// reservationLapsed lets the tasks that wait for the worker share one, unless it became free in time.
 func (s *State) reservationLapsed(w *worker, waiting []*task) {
 	for _, t := range waiting {
-		if t.stage.job.ID == w.reservedFor && t.trialStoredOn(w) {
+		if t.awaitedWorker == w.ID && !w.hostsOnly(t.stage.job.ID) {
 			t.reservationLapsed = true
 			s.logDecision("ReservationEnded", t.id(), w.ID, "NotFreeInTime", t.lastRun)
 		}
@@ -641,7 +642,7 @@
 		}
 		if w.reservedFor == st.job.ID || t.sharesWorker() && t.hasTrialOn(w) {
 			room[w] = left.Sub(size)
-			s.beginTrial(t, w)
+			s.awaitWorker(t, w)
 			return
 		}
 		if best == nil || cmp.Or(cmp.Compare(excess, bestExcess), s.compareForIsolation(now, t, w, best)) < 0 {
@@ -663,7 +664,16 @@
 		s.logDecision("Reserved", t.id(), best.ID, t.describeCrashes(), t.lastRun)
 	}
 	room[best] = bestRoom.Sub(size)
-	s.beginTrial(t, best)
+	s.awaitWorker(t, best)
+}
+
+// awaitWorker notes that the task waits for the worker, and begins its trial once it may start there. A trial that was stored sooner would blame
+// the task, under a later owner, for a crash of the worker before its start.
+func (s *State) awaitWorker(t *task, w *worker) {
+	t.awaitedWorker = w.ID
+	if w.hostsOnly(t.stage.job.ID) || t.sharesWorker() {
+		s.beginTrial(t, w)
+	}
 }
 
 // roomBesides returns the capacity that the worker has for a job's waiting tasks once the batch tasks of other jobs are done.
--- a/core/sched/reservation_test.go
+++ b/core/sched/reservation_test.go
@@ -102,6 +102,41 @@
 	}
 }
 
+// TestTrialIsStoredWhenItMayBegin guards against LOST: a later owner blamed a task for the crash of a worker that was reserved for it and still ran others.
+func TestTrialIsStoredWhenItMayBegin(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s, poll := successor(t, now)
+	s.AddJob(now, batch("other", "p", 1, 900, 1), Progress{}, false)
+	other := s.Plan(now).Starts
+	must.Len(t, 1, other)
+	s.StartAnswered(now, other[0], Executed)
+
+	crash := func(run int64) CrashedRun {
+		return CrashedRun{Run: run, Crash: Crash{Worker: "gone"}, Chance: 0.5}
+	}
+	stored := Progress{State: Running, Occurrences: []OccurrenceProgress{{Crashes: []CrashedRun{crash(1), crash(2)}}}}
+	s.AddJob(now, batch("suspect", "p", 1, 900, 1), stored, false)
+	suspect := s.find(TaskID{Job: "suspect"})
+	plan := func() Orders {
+		now = now.Add(placeInterval)
+		s.SetWorkers(now, []Worker{s.workers["w"].Worker})
+		o := s.Plan(now)
+		for _, save := range o.Saves {
+			s.Saved(save.Job, save.Version)
+		}
+		return o
+	}
+	for range 3 {
+		must.SliceEmpty(t, plan().Starts)
+		must.Eq(t, "suspect", s.workers["w"].reservedFor)
+		must.Nil(t, suspect.trial)
+	}
+	poll(now, nil, []EndedRun{{Number: 1, RunStatus: RunStatus{Task: other[0].Task, Run: other[0].Run}, Reason: Done}})
+	must.SliceEmpty(t, plan().Starts) // the trial is stored first
+	must.NotNil(t, suspect.trial)
+	must.Len(t, 1, plan().Starts)
+}
+
 // TestHeldMachineTakesTasksAgain guards against LOST: a wave kept a worker free on which alone a long-running task could start, and waited for that task.
 func TestHeldMachineTakesTasksAgain(t *testing.T) {
 	w := newSimulation(t, 1, map[string]int{"p": 2})
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -132,6 +132,7 @@
 	incriminatedAt  time.Time // since when they can hardly be chance; zero if they can
 	trial           *trial    // set from its storing to the known end of a run alone
 	waitsAloneSince time.Time // since when it waits for a worker of its own
+	awaitedWorker   string    // id of the worker that is to be its own, as of the last placement
 	// reservationLapsed is set if a worker that was reserved for it since its last start did not become free in time.
 	reservationLapsed bool
 	// waitsForSpreadSince is when the spread limit of its step first kept it off all workers with room.
