Add a soak of the simulation: random jobs under random troubles

Crashes, losses of many workers, cuts, lost answers, outages of the store, changes of the owner, waves and queues that move between pools. Once the troubles are over, each job must be done or run; a job may be given up only if two workers crashed under one of its tasks.

--- a/core/sched/crash_test.go
+++ b/core/sched/crash_test.go
@@ -16,6 +16,10 @@
 		return
 	}
 	w.log("%s crashes with %d runs", x.ID, len(x.runs))
+	for id := range x.runs {
+		w.lostAt[id] = w.now
+		w.struck[id]++
+	}
 	w.breakGangs(x)
 	if w.crashesKeepIDs {
 		w.awayThenRestarted(x, crashDowntime)
--- /dev/null
+++ b/core/sched/soak_test.go
@@ -0,0 +1,125 @@
+package sched
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var (
+	soakSeeds = flag.Uint64("soak.seeds", 6, "number of histories of TestSoak")
+	soakFirst = flag.Uint64("soak.first", 1, "seed of the first of them")
+)
+
+// soakJob returns a random job of one of the pools a and b, and whether it is long-running.
+func soakJob(r *rand.Rand, id string) (Job, bool) {
+	pool := []string{"a", "b"}[r.IntN(2)]
+	if r.IntN(5) == 0 {
+		j := longRunningJob(id, pool, 1+r.IntN(6))
+		j.Steps[0].MaxPerWorker = r.IntN(2) * 3
+		return j, true
+	}
+	j := batch(id, pool, 1+r.IntN(5), 600+200*r.IntN(6), 1+r.IntN(3))
+	last := &j.Steps[len(j.Steps)-1]
+	switch r.IntN(5) {
+	case 0:
+		last.Gang = true
+	case 1:
+		last.MaxPerWorker = 1 + r.IntN(2)
+	case 2:
+		last.Checkpoint = true
+	}
+	return j, false
+}
+
+// disturb lets one random trouble befall the simulation.
+func (w *simulation) disturb(r *rand.Rand, wave *int64) {
+	x := w.workers[r.IntN(len(w.workers))]
+	duration := time.Duration(500+r.IntN(5000)) * time.Millisecond
+	switch r.IntN(9) {
+	case 0:
+		w.crash(x)
+	case 1:
+		w.loseMany(x, 2+r.IntN(3))
+	case 2:
+		if !x.unreachable {
+			x.unreachable = true
+			w.schedule(duration, func() { x.unreachable = false })
+		}
+	case 3, 4:
+		w.changeOwner()
+	case 5:
+		w.sendQueue([]string{"q-a", "q-b"}[r.IntN(2)], []string{"a", "b"}[r.IntN(2)])
+	case 6:
+		x.lostAnswers = true
+		w.schedule(duration, func() { x.lostAnswers = false })
+	case 7:
+		o := w.owner
+		o.storeDown = true
+		w.schedule(min(duration, 1500*time.Millisecond), func() { o.storeDown = false })
+	case 8:
+		*wave++
+		machines := sortedKeys(w.pools)
+		machines = machines[r.IntN(len(machines)):]
+		w.maxDown[*wave] = 1 + r.IntN(2)
+		w.owner.state.AddWave(w.now, Wave{Number: *wave, Machines: machines, TimeLimit: 30 * time.Second, MaxDown: w.maxDown[*wave]})
+	}
+}
+
+// mayGiveUp reports whether two workers have crashed under a task of the job.
+func (w *simulation) mayGiveUp(job string) bool {
+	for id, n := range w.struck {
+		if id.Job == job && n >= isolationCrashes {
+			return true
+		}
+	}
+	return false
+}
+
+// TestSoak runs random jobs under random troubles and checks the invariants all the while. Once the troubles are over, each batch job must be
+// completed and each long-running task must run, unless two workers have crashed under a task of the job.
+func TestSoak(t *testing.T) {
+	for seed := *soakFirst; seed < *soakFirst+*soakSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, simStream))
+			w := newSimulation(t, seed, map[string]int{"a": 6, "b": 6, "spare": 3})
+			w.crashesKeepIDs = seed%2 == 1
+			w.run(settleTime)
+			tasks := make(map[string]int) // by long-running job
+			wave := int64(0)
+			for i := range 60 {
+				j, longRunning := soakJob(r, fmt.Sprint("j", i))
+				if longRunning && len(tasks) < 6 {
+					tasks[j.ID] = j.Steps[0].Count
+				} else if longRunning {
+					continue
+				}
+				w.submit(j)
+				if r.IntN(3) == 0 {
+					w.disturb(r, &wave)
+				}
+				w.run(time.Duration(50+r.IntN(700)) * time.Millisecond)
+			}
+			w.run(45 * time.Second)
+			for id := range w.jobs {
+				switch n, longRunning := tasks[id]; {
+				case w.stored[id].State == Failed:
+					must.True(t, w.mayGiveUp(id), must.Sprint(id))
+				case longRunning:
+					must.Eq(t, n, w.runningTasks(id), must.Sprint(id, "\n", w.owner.state.dump(id)))
+				default:
+					must.Eq(t, Completed, w.stored[id].State, must.Sprint(id, "\n", w.owner.state.dump(id)))
+				}
+			}
+			for id := range tasks { // the record names the pools in which tasks of the queue still run
+				for _, x := range w.runsOf(id) {
+					must.SliceContains(t, w.queuePools.Pools[w.jobs[id].Queue], x.Pool)
+				}
+			}
+		})
+	}
+}
