Rank the waiting stages without lookups in maps

The outlook is kept in the occurrence and the rank in the stage; the objective comes from the longest remaining path.

--- a/core/sched/admit.go
+++ b/core/sched/admit.go
@@ -87,7 +87,7 @@
 // waitingWork returns the processor-seconds of the waiting batch tasks of all queues that share a pool.
 func (s *State) waitingWork(now time.Time, pool string) float64 {
 	work := 0.0
-	left := make(map[*occurrence]float64)
+	s.admissions++
 	unseen := s.unseenPools(now)
 	for name, other := range s.queues {
 		if s.config.Queues[name].Pool != pool {
@@ -98,10 +98,12 @@
 			if st.step.LongRunning || st.step.Backfill || st.job.state.Final() || blocked && st.job.inherited {
 				continue
 			}
-			if _, known := left[st.occurrence]; !known {
-				left[st.occurrence], _ = s.occurrenceWork(st.occurrence)
+			o := st.occurrence
+			if o.admission != s.admissions {
+				o.admission = s.admissions
+				o.waitingWork, _ = s.occurrenceWork(o)
 			}
-			work += left[st.occurrence]
+			work += o.waitingWork
 		}
 	}
 	return work
--- a/core/sched/cost_test.go
+++ b/core/sched/cost_test.go
@@ -140,6 +140,6 @@
 	}
 	j := Job{Queue: "q-p", Steps: []Step{step(1), step(2, 0), step(5, 0), step(3, 1, 1, 0), step(1, 2, 3), step(9)}}
 	want := []time.Duration{7 * time.Second, 6 * time.Second, 6 * time.Second, 4 * time.Second, time.Second, 9 * time.Second}
-	must.Eq(t, want, s.remainingPaths(&j))
+	must.Eq(t, want, s.remainingPaths(&j, nil))
 	must.Eq(t, 9*time.Second, j.criticalPath(func(p *Step) time.Duration { return p.Estimate }))
 }
--- a/core/sched/estimate.go
+++ b/core/sched/estimate.go
@@ -1,6 +1,9 @@
 package sched
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // queueStats holds statistics of a queue's past runs and jobs, which correct the estimates of its tasks.
 type queueStats struct {
@@ -54,23 +57,30 @@
 
 // outlook is what the placement order needs to know of an occurrence. It is computed once for all of its stages.
 type outlook struct {
+	placement uint64          // counts the placement for which it holds
 	due       time.Time       // by when the occurrence should be done
 	remaining []time.Duration // by step, the expected time of the longest chain of steps that begins with it
 	left      float64         // processor-seconds of the waiting tasks
 	total     float64         // processor-seconds of all tasks
 }
 
-// outlook returns the outlook of an occurrence. Its cost is linear in the number of tasks and dependencies.
-func (s *State) outlook(q Queue, o *occurrence) outlook {
-	j := &o.stages[0].job.Job
-	l := outlook{due: o.due.Add(s.objective(q, j)), remaining: s.remainingPaths(j)}
+// outlookOf returns the outlook of an occurrence for the present placement. Its cost is linear in the number of tasks and dependencies.
+func (s *State) outlookOf(q Queue, o *occurrence) *outlook {
+	l := &o.outlook
+	if l.placement == s.placements {
+		return l
+	}
+	l.placement = s.placements
+	l.remaining = s.remainingPaths(&o.stages[0].job.Job, l.remaining)
+	l.due = o.due.Add(q.objective(slices.Max(l.remaining)))
 	l.left, l.total = s.occurrenceWork(o)
 	return l
 }
 
-// remainingPaths returns, by step, the expected time of the longest chain of steps that begins with it.
-func (s *State) remainingPaths(j *Job) []time.Duration {
-	paths := make([]time.Duration, len(j.Steps)) // of the steps that follow, until the step itself is reached
+// remainingPaths returns, by step, the expected time of the longest chain of steps that begins with it. It may reuse the given slice.
+func (s *State) remainingPaths(j *Job, paths []time.Duration) []time.Duration {
+	paths = slices.Grow(paths[:0], len(j.Steps))[:len(j.Steps)]
+	clear(paths) // each is that of the steps that follow, until the step itself is reached
 	for i := len(j.Steps) - 1; i >= 0; i-- {
 		step := &j.Steps[i]
 		paths[i] += s.estimate(j.Queue, step)
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -67,11 +67,11 @@
 		})
 		all = append(all, q.stages...)
 	}
-	ranks, outlooks := make(map[*stage]rank, len(all)), make(map[*occurrence]outlook)
+	s.placements++
 	for _, st := range all {
-		ranks[st] = s.rankOf(now, st, outlooks)
+		st.rank = s.rankOf(now, st)
 	}
-	slices.SortFunc(all, func(a, b *stage) int { return ranks[a].compare(ranks[b]) })
+	slices.SortFunc(all, func(a, b *stage) int { return a.rank.compare(&b.rank) })
 	return all
 }
 
@@ -85,7 +85,7 @@
 	step     int
 }
 
-func (r rank) compare(o rank) int {
+func (r *rank) compare(o *rank) int {
 	return cmp.Or(cmp.Compare(r.group, o.group), cmp.Compare(r.priority, o.priority), cmp.Compare(r.effort, o.effort), r.due.Compare(o.due), cmp.Compare(r.id, o.id), cmp.Compare(r.step, o.step))
 }
 
@@ -96,23 +96,19 @@
 	groupLate // the occurrence can no longer end within its objective
 )
 
-// rankOf returns the rank of a stage, and adds the outlook of its occurrence to those known.
+// rankOf returns the rank of a stage.
 //
 // Ordering by due time alone would make all jobs a little late in a burst that exceeds the capacity.
 // Jobs that can still be on time come first. Among jobs of one group and priority, those with the least
 // remaining work for their worth to the submitter come first.
-func (s *State) rankOf(now time.Time, st *stage, known map[*occurrence]outlook) rank {
+func (s *State) rankOf(now time.Time, st *stage) rank {
 	q := s.config.Queues[st.job.Queue]
 	r := rank{group: groupOnTime, priority: q.Priority, id: st.job.ID, step: st.index}
 	if st.step.LongRunning {
 		r.group, r.due = groupLongRunning, st.job.acceptedAt
 		return r
 	}
-	l, found := known[st.occurrence]
-	if !found {
-		l = s.outlook(q, st.occurrence)
-		known[st.occurrence] = l
-	}
+	l := s.outlookOf(q, st.occurrence)
 	r.due = l.due
 	if now.Add(l.remaining[st.index]).After(r.due) {
 		r.group = groupLate
@@ -130,7 +126,12 @@
 
 // objective returns the latency objective of a job: a fixed part and a multiple of its critical path.
 func (s *State) objective(q Queue, j *Job) time.Duration {
-	return q.Target + time.Duration(q.Stretch*float64(j.criticalPath(func(p *Step) time.Duration { return s.estimate(j.Queue, p) })))
+	return q.objective(j.criticalPath(func(p *Step) time.Duration { return s.estimate(j.Queue, p) }))
+}
+
+// objective returns the latency objective of a job with the given critical path.
+func (q Queue) objective(criticalPath time.Duration) time.Duration {
+	return q.Target + time.Duration(q.Stretch*float64(criticalPath))
 }
 
 // placeStage starts as many waiting tasks of a stage as there is room for.
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -47,6 +47,8 @@
 	fencedOff           bool
 	placementChanged    bool      // whether something that placement depends on has changed since lastPlacement
 	lastPlacement       time.Time // when tasks were last placed
+	placements          uint64    // number of orders of placement that were made
+	admissions          uint64    // number of times that the waiting work of a pool was summed up
 	predecessorEnd      time.Time // no earlier owner sends an order after it
 	predecessorRunsEnd  time.Time // every run that an earlier owner started has ended by then, unless its worker restarted
 	unseenRunsEnd       time.Time // the latest of the workers' unseenRunsEnd
@@ -92,6 +94,10 @@
 	due       time.Time
 	stages    []*stage
 	remaining int // number of steps that are not done
+	outlook   outlook
+	// waitingWork is the processor-seconds of its waiting tasks as of an admission.
+	waitingWork float64
+	admission   uint64 // counts the admission for which waitingWork holds
 }
 
 // stage is one step of one occurrence of a job.
@@ -104,6 +110,7 @@
 	remaining  int               // number of tasks that are not done
 	blockers   int               // number of steps that must be done first and are not
 	queued     bool              // it is in its queue's stages
+	rank       rank              // as of the last placement
 	gangRun    int64             // number of the gang's last run
 	tickets    map[string]ticket // by worker
 	askedAt    time.Time         // when the placement advisor was last asked
