--- a/core/sched/reservation_test.go
+++ b/core/sched/reservation_test.go
@@ -102,6 +102,23 @@
 	}
 }
 
+// TestNoWorkerIsReservedInVain guards against LOST: a worker was reserved for a task that the limit on one worker keeps off it.
+func TestNoWorkerIsReservedInVain(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s, _ := successor(t, now)
+	s.AddJob(now, longRunningJob("suspect", "p", 2), Progress{}, false)
+	must.Len(t, 1, s.Plan(now).Starts)
+	for run := range int64(isolationCrashes) {
+		s.suspect(suspectedRun{s.find(TaskID{Job: "suspect", Index: 1}), run + 1, Crash{Worker: "gone"}, 0.5})
+	}
+	for end := now.Add(2 * spreadWait); now.Before(end); {
+		now = now.Add(placeInterval)
+		s.SetWorkers(now, []Worker{s.workers["w"].Worker})
+		must.SliceEmpty(t, s.Plan(now).Starts)
+		must.Eq(t, "", s.workers["w"].reservedFor)
+	}
+}
+
 // TestTrialIsStoredWhenItMayBegin guards against LOST: a later owner blamed a task for the crash of a worker that was reserved for it and still ran others.
 func TestTrialIsStoredWhenItMayBegin(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
