--- a/core/sched/crash_test.go
+++ b/core/sched/crash_test.go
@@ -324,8 +324,8 @@
 	}
 }
 
-// refusingWorkers returns an owner with a number of idle workers, and a function that plans with all records stored.
-func refusingWorkers(t *testing.T, now time.Time, workers int) (s *State, plan func(now time.Time) Orders) {
+// ownerOfIdleWorkers returns an owner with a number of idle workers, and a function that plans with all records stored.
+func ownerOfIdleWorkers(t *testing.T, now time.Time, workers int) (s *State, plan func(now time.Time) Orders) {
 	t.Helper()
 	s, _ = successor(t, now)
 	var list []Worker
@@ -370,7 +370,7 @@
 	for _, c := range orders {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Unix(1_700_000_000, 0)
-			s, plan := refusingWorkers(t, now, workers)
+			s, plan := ownerOfIdleWorkers(t, now, workers)
 			s.AddJob(now, batch("j", "p", 1, 900, 1), Progress{}, false)
 			refused := 0
 			for range 100 {
--- a/core/sched/isolation.go
+++ b/core/sched/isolation.go
@@ -20,9 +20,6 @@
 // isolated reports whether the task is to run on a worker that is reserved for its job.
 func (t *task) isolated() bool { return len(t.crashes) >= isolationCrashes }
 
-// sharesWorker reports whether the task, although isolated, does not wait any longer for a worker that runs nothing else.
-func (t *task) sharesWorker() bool { return t.reservationLapsed }
-
 // mayStart reports whether the task may start on the worker as far as crashes are concerned. Those that are known must be stored, since this
 // owner may be cut off, and its successor would know of none. A task that is to run alone needs a worker that is reserved for its job and runs
 // nothing else, unless the last one did not become free in time, and its trial there must be stored too.
@@ -33,7 +30,7 @@
 		return false
 	case t.isolated():
 		alone := w.reservedFor == job.ID && w.hostsOnly(job.ID)
-		return (alone || t.sharesWorker() && w.servesJob(job.ID)) && t.trialStoredOn(w)
+		return (alone || t.sharesWorker && w.servesJob(job.ID)) && t.trialStoredOn(w)
 	}
 	return w.servesJob(job.ID)
 }
@@ -136,7 +133,7 @@
 		case waiting[w.reservedFor] == 0, !w.usable(now):
 			w.reservedFor = ""
 		case now.Sub(w.reservedAt) >= reservationTime:
-			s.reservationLapsed(w, tasks)
+			s.letShare(w, tasks)
 			w.endReservation(now)
 		}
 	}
@@ -155,11 +152,11 @@
 	w.reservedFor, w.notReservedBefore = "", now.Add(reservationTime)
 }
 
-// reservationLapsed lets the tasks that wait for the worker share one, unless it became free in time.
-func (s *State) reservationLapsed(w *worker, waiting []*task) {
+// letShare lets the tasks that wait for the worker share one, unless it became free in time.
+func (s *State) letShare(w *worker, waiting []*task) {
 	for _, t := range waiting {
 		if t.awaitedWorker == w.ID && !w.hostsOnly(t.stage.job.ID) {
-			t.reservationLapsed = true
+			t.sharesWorker = true
 			s.logDecision("ReservationEnded", t.id(), w.ID, "NotFreeInTime", t.lastRun)
 		}
 	}
@@ -177,13 +174,13 @@
 	crowded := false
 	for _, w := range workers {
 		reserved += boolInt(w.reservedFor != "")
-		if !w.servesJob(st.job.ID) || w.reservedFor == "" && !t.sharesWorker() && now.Before(w.notReservedBefore) {
+		if !w.servesJob(st.job.ID) || w.reservedFor == "" && !t.sharesWorker && now.Before(w.notReservedBefore) {
 			continue
 		}
 		left, known := room[w]
 		switch {
 		case known:
-		case t.sharesWorker():
+		case t.sharesWorker:
 			left = w.free()
 		default:
 			left = w.roomBesides(st.job.ID)
@@ -196,7 +193,7 @@
 			crowded = true
 			continue
 		}
-		if w.reservedFor == st.job.ID || t.sharesWorker() && t.hasTrialOn(w) {
+		if w.reservedFor == st.job.ID || t.sharesWorker && t.hasTrialOn(w) {
 			room[w] = left.Sub(size)
 			s.awaitWorker(t, w)
 			return
@@ -211,7 +208,7 @@
 			t.waitForSpread(now)
 		}
 		return
-	case t.sharesWorker():
+	case t.sharesWorker:
 		s.logDecision("Shared", t.id(), best.ID, t.describeCrashes(), t.lastRun)
 	case reserved >= max(1, len(workers)/2):
 		return
@@ -227,7 +224,7 @@
 // the task, under a later owner, for a crash of the worker before its start.
 func (s *State) awaitWorker(t *task, w *worker) {
 	t.awaitedWorker = w.ID
-	if w.hostsOnly(t.stage.job.ID) || t.sharesWorker() {
+	if w.hostsOnly(t.stage.job.ID) || t.sharesWorker {
 		s.beginTrial(t, w)
 	}
 }
--- a/core/sched/queuepools.go
+++ b/core/sched/queuepools.go
@@ -27,7 +27,7 @@
 // recordedPool is a pool in the record of a queue.
 type recordedPool struct {
 	version uint64 // of the record that first had it
-	initial bool   // every version of the record that names the queue has it
+	always  bool   // every version of the record that names the queue has it
 }
 
 // poolReviewInterval is the interval at which pools are removed from the record of a queue.
@@ -54,7 +54,8 @@
 // QueuePoolsFailed records that storing the record failed or is unsettled, so that the next plan repeats it.
 func (s *State) QueuePoolsFailed() { s.queuePools.saving = false }
 
-// add adds a pool to the record of a queue and reports whether a successor is sure to take notice of runs there.
+// add adds a pool to the record of a queue and reports whether a start there may follow: a successor reads a record that names the pool, or
+// one that does not name the queue.
 func (p *queuePools) add(queue, pool string) bool {
 	known, recorded := p.pools[queue]
 	if !recorded {
@@ -64,10 +65,10 @@
 	r, found := known[pool]
 	if !found {
 		p.version++
-		r = recordedPool{version: p.version, initial: !recorded}
+		r = recordedPool{version: p.version, always: !recorded}
 		known[pool] = r
 	}
-	return r.initial || r.version <= p.savedVersion
+	return r.always || r.version <= p.savedVersion
 }
 
 // remove removes a pool from the record of a queue.
@@ -87,16 +88,17 @@
 	return r
 }
 
-// mayHaveRuns reports whether the queue may have runs of an earlier owner in the pool, which the present configuration may have left.
-func (p *queuePools) mayHaveRuns(queue, pool string) bool {
+// mayHaveInherited reports whether the queue may have runs of an earlier owner in the pool.
+func (p *queuePools) mayHaveInherited(queue, pool string) bool {
 	_, found := p.pools[queue][pool]
 	return found || !p.restored[queue]
 }
 
-// hasUnseenRuns reports whether a queue may have runs of an earlier owner, or ends, that no poll has shown, given the pools that may.
+// hasUnseenRuns reports whether the queue may have runs of an earlier owner, or ends, in one of the pools where polls may not have shown all of
+// them yet.
 func (s *State) hasUnseenRuns(queue string, unseen map[string]bool) bool {
 	for pool := range unseen {
-		if pool == s.config.Queues[queue].Pool || s.queuePools.mayHaveRuns(queue, pool) {
+		if pool == s.config.Queues[queue].Pool || s.queuePools.mayHaveInherited(queue, pool) {
 			return true
 		}
 	}
@@ -118,7 +120,7 @@
 	return unseen
 }
 
-// planQueuePools removes the pools from the record that can have no runs of a queue any more, and orders the record to be stored once it has changed.
+// planQueuePools removes from the record the pools that can have no runs of their queue any more, and orders a changed record to be stored.
 func (s *State) planQueuePools(now time.Time, o *Orders) {
 	p := &s.queuePools
 	if now.Sub(p.lastReview) >= poolReviewInterval {
--- a/core/sched/queuepools_test.go
+++ b/core/sched/queuepools_test.go
@@ -20,8 +20,7 @@
 	}
 }
 
-// TestMovedQueueRunsNoTaskTwice guards against TWICE: a successor started a task again that still ran in the pool to which an earlier configuration had sent
-// its queue.
+// TestMovedQueueRunsNoTaskTwice guards against TWICE: a successor started a task again that still ran in its queue's former pool.
 func TestMovedQueueRunsNoTaskTwice(t *testing.T) {
 	cutOff := func(w *simulation, d time.Duration) {
 		for _, x := range w.runsOf("j") {
--- a/core/sched/reservation_test.go
+++ b/core/sched/reservation_test.go
@@ -49,14 +49,13 @@
 		workers int
 		others  []Job // jobs that run on the workers with the label, for longRun
 		suspect Job
-		crashes int
 		gone    bool // the last worker to crash does not come back
 	}{
-		{"beside its sibling", 2, nil, labelled(longRunningJob("suspect", "p", 2)), 2, true},
-		{"beside a long batch task", 2, []Job{onEach(2)}, labelled(batch("suspect", "p", 1, 900, 1)), 2, false},
-		{"on the only worker", 1, []Job{onEach(1)}, labelled(batch("suspect", "p", 1, 900, 1)), 2, false},
-		{"while it runs alone for long", 1, nil, labelled(batch("suspect", "p", 1, 900, 1)), 2, false},
-		{"beside its siblings on all workers", 2, nil, labelled(spreadJob(4)), 2, true},
+		{"beside its sibling", 2, nil, labelled(longRunningJob("suspect", "p", 2)), true},
+		{"beside a long batch task", 2, []Job{onEach(2)}, labelled(batch("suspect", "p", 1, 900, 1)), false},
+		{"on the only worker", 1, []Job{onEach(1)}, labelled(batch("suspect", "p", 1, 900, 1)), false},
+		{"while it runs alone for long", 1, nil, labelled(batch("suspect", "p", 1, 900, 1)), false},
+		{"beside its siblings on all workers", 2, nil, labelled(spreadJob(4)), true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -78,7 +77,7 @@
 			w.run(settleTime)
 			id := TaskID{Job: c.suspect.ID}
 			w.submit(c.suspect)
-			w.crashUnder(id, c.crashes-1)
+			w.crashUnder(id, isolationCrashes-1)
 			for _, j := range c.others {
 				w.submit(j)
 			}
--- a/core/sched/soak_test.go
+++ b/core/sched/soak_test.go
@@ -80,8 +80,7 @@
 	return false
 }
 
-// TestSoak runs random jobs under random troubles and checks the invariants all the while. Once the troubles are over, each batch job must be
-// completed and each long-running task must run, unless two workers have crashed under a task of the job.
+// TestSoak guards against broken invariants and lost jobs under random troubles.
 func TestSoak(t *testing.T) {
 	for seed := *soakFirst; seed < *soakFirst+*soakSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/core/sched/spread_test.go
+++ b/core/sched/spread_test.go
@@ -16,10 +16,7 @@
 
 // TestLongRunningTaskReturnsWithFewerWorkers guards against LOST: a long-running task waited for ever for a worker without a task of its step.
 func TestLongRunningTaskReturnsWithFewerWorkers(t *testing.T) {
-	const (
-		workers  = 8
-		lostTime = 9 * time.Second // from the last run until a task that waits counts as lost
-	)
+	const workers = 8
 	occupy := func(w *simulation, x *simWorker) {
 		w.submit(Job{ID: "occupant", Queue: "q-p", Steps: []Step{{Count: 1, Size: x.Capacity.Sub(Size{Processors: 1000}), LongRunning: true, RequiredLabel: "occupied"}}})
 	}
@@ -67,7 +64,7 @@
 				must.LessEq(t, 1, len(x.runs))
 			}
 			c.disturb(w)
-			w.run(lostTime)
+			w.run(lostAfter)
 			must.Eq(t, c.count, w.runningTasks("l"), must.Sprint(w.owner.state.dump("l")))
 			must.SliceEmpty(t, w.violations)
 		})
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -140,8 +140,9 @@
 	trial           *trial    // set from its storing to the known end of a run alone
 	waitsAloneSince time.Time // since when it waits for a worker of its own
 	awaitedWorker   string    // id of the worker that is to be its own, as of the last placement
-	// reservationLapsed is set if a worker that was reserved for it since its last start did not become free in time.
-	reservationLapsed bool
+	// sharesWorker is set if a worker that was reserved for it since its last start did not become free in time: it waits no longer for one
+	// that runs nothing else.
+	sharesWorker bool
 	// waitsForSpreadSince is when the spread limit of its step first kept it off all workers with room.
 	waitsForSpreadSince time.Time
 }
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -397,8 +397,8 @@
 	return s.maintenanceBlocker(now, w, waitForBatch) == ""
 }
 
-// mayPrepare reports whether a worker may be prepared for the maintenance of its machine: the maintenance may begin once the
-// worker runs no more tasks of a long-running step than may be unavailable.
+// mayPrepare reports whether a wave may choose the worker's machine: its maintenance may begin now, or once excess tasks of a long-running
+// step have been moved off it.
 func (s *State) mayPrepare(now time.Time, w *worker) bool {
 	if w.crowded() {
 		for st := range w.longRunningRuns() {
@@ -479,8 +479,8 @@
 		}
 		st := r.task.stage
 		taken[st]++
-		awayElsewhere := st.unavailable(nil) - boolInt(!r.available())
-		if taken[st] > max(1, st.step.MaxUnavailable) && awayElsewhere == 0 && !w.isStopping(st) && s.hasPlaceBeside(now, st, w) {
+		othersAway := st.unavailable(nil) - boolInt(!r.available())
+		if taken[st] > max(1, st.step.MaxUnavailable) && othersAway == 0 && !w.isStopping(st) && s.hasPlaceBeside(now, st, w) {
 			r.phase = stopping
 			w.requestScan()
 			s.logDecision("Stop", r.id, w.ID, "UpkeepDue", r.number)
