--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -23,7 +23,7 @@
 
 var workerSize = size{CPU: 16000, Mem: 32768}
 
-// crashes returns the crashes of runners that ran the work unit.
+// crashesUnder returns the crashes of runners that ran the work unit.
 func (h *history) crashesUnder(task string) []crash {
 	var under []crash
 	for _, c := range h.crashes {
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -128,14 +128,6 @@
 	}
 }
 
-// has reports whether a key exists.
-func (s *metadataStore) has(key string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, exists := s.items[key]
-	return exists
-}
-
 // value returns the value of a key.
 func (s *metadataStore) value(key string) []byte {
 	s.mu.Lock()
