--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	scenarios["pace"] = playPace
 	scenarios["after-twice"] = playAfterTwice
 	scenarios["kind"] = playKind
+	scenarios["channels"] = playChannels
 }
 
 const service = "huvo11a"
@@ -413,3 +415,48 @@
 	}
 	return ""
 }
+
+// playChannels lets clients open more channels to the owner than it may have descriptors, and starts another entry meanwhile.
+func playChannels(e *environment) string {
+	e.limited = true
+	e.addMachines(service, 3, workerSize)
+	e.configure(1, []string{service}, route("r-1", prefix, service, 2))
+	e.startEntries(2)
+	owner, other := e.owner(), e.entries[0]
+	if owner == other {
+		other = e.entries[1]
+	}
+	var channels []net.Conn
+	if e.trouble {
+		for range maxDescriptors {
+			conn, err := net.DialTimeout("tcp", owner.front, time.Second)
+			if err != nil {
+				break
+			}
+			channels = append(channels, conn)
+		}
+		e.log("clients: %d channels to %s are open", len(channels), owner.name)
+	}
+	sleep(e.ctx, 2*time.Second)
+	e.log("entry %s is killed and starts again", other.name)
+	_ = other.process.Process.Kill()
+	_ = other.process.Wait()
+	e.launch(other)
+	sleep(e.ctx, 5*time.Second)
+	for _, c := range channels {
+		_ = c.Close()
+	}
+	e.log("clients: their channels are closed")
+	sleep(e.ctx, 5*time.Second)
+	added := "/added/"
+	e.configure(2, []string{service}, route("r-1", prefix, service, 2), route("r-2", added, service, 2))
+	sleep(e.ctx, 10*time.Second)
+	broken := ""
+	for range 3 {
+		if a := e.call(owner, "GET", added, nil); a.status == 404 {
+			broken = fmt.Sprintf("CONFIG: %s answers 404 for a route of a version that was acknowledged more than 10 s before", owner.name)
+		}
+		sleep(e.ctx, time.Second)
+	}
+	return broken
+}
--- a/review/standin-2/environment.go
+++ b/review/standin-2/environment.go
@@ -28,8 +28,10 @@
 	cancelTime = 3 * time.Second  // cancel_ms
 	ticketTime = 3 * time.Second  // valid_ms
 	timeBudget = 3 * time.Second  // of a client's request
-	host       = "pule25.example"
-	prefix     = "/puxa400/"
+
+	maxDescriptors = 4100 // max_fds
+	host           = "pule25.example"
+	prefix         = "/puxa400/"
 )
 
 type started struct {
@@ -77,6 +79,7 @@
 	trouble bool
 	store   *metadataStore
 	folder  string // temporary
+	limited bool   // the entries' descriptors are limited to maxDescriptors
 	advisor string // address of the placement advisor
 
 	begun    time.Time
@@ -328,6 +331,9 @@
 	}
 	defer logFile.Close()
 	n.process = exec.Command("target/daisynode", "entry")
+	if e.limited {
+		n.process = exec.Command("bash", "-c", fmt.Sprintf("ulimit -n %d && exec target/daisynode entry", maxDescriptors))
+	}
 	n.process.Env = append(os.Environ(), "DAISYSADDLE_SETTINGS="+filepath.Join(e.folder, n.name+".yaml"))
 	n.process.Stdout, n.process.Stderr = logFile, logFile
 	n.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -181,7 +181,11 @@
 	r.machine.mu.Unlock()
 	r.cancel()
 	_ = r.server.Close()
-	time.AfterFunc(missedHeartbeats*heartbeatInterval, func() { r.env.store.remove("servers/" + r.id) })
+	time.AfterFunc(missedHeartbeats*heartbeatInterval, func() {
+		if next := r.machine.current(); next == nil || next.id != r.id {
+			r.env.store.remove("servers/" + r.id)
+		}
+	})
 }
 
 // live sends heartbeats and ends the runs whose lease has expired.
