Measure the requests to the placement advisor

Cause: nothing showed how often the advisor was asked, about how many workers, and how long it took. A step that waits for advice could not be told from one that waits for room. Change: a histogram of the time of the requests by success, and a counter of the workers that they name.

--- a/io/node/dispatch.go
+++ b/io/node/dispatch.go
@@ -275,7 +275,9 @@
 	c.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(c.ctx, adviceTimeout)
 		defer cancel()
+		sent := c.node.Now()
 		advised, err := c.node.Advisor.Ask(ctx, a)
+		c.node.metrics.observeAdvice(len(a.Workers), c.node.Now().Sub(sent), err)
 		if err != nil {
 			c.node.log("AdviceFailed").Str("Task", a.Stage.String()).Err(err).Send()
 		}
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -20,6 +20,8 @@
 	store        *prometheus.HistogramVec
 	requests     *prometheus.HistogramVec
 	intake       *prometheus.HistogramVec
+	advice       *prometheus.HistogramVec
+	advised      prometheus.Counter
 	copies       *prometheus.CounterVec
 	droppedLines prometheus.Counter
 	panics       prometheus.Counter
@@ -52,11 +54,16 @@
 			Name: "daisysaddle_intake_seconds", Help: "Time from the arrival of a stored job's name, or of a stored cancellation, until the owner applied it.",
 			Buckets: prometheus.ExponentialBuckets(firstBucketSeconds, bucketFactor, bucketCount),
 		}, []string{"kind"}),
+		advice: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "daisysaddle_advice_seconds", Help: "Time of requests to the placement advisor.",
+			Buckets: prometheus.ExponentialBuckets(firstBucketSeconds, bucketFactor, bucketCount),
+		}, []string{"ok"}),
+		advised:      prometheus.NewCounter(prometheus.CounterOpts{Name: "daisysaddle_advice_workers_total", Help: "Workers named in requests to the placement advisor."}),
 		copies:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "daisysaddle_order_copies_total", Help: "Orders that were sent again because their answer was overdue."}, []string{"order"}),
 		droppedLines: prometheus.NewCounter(prometheus.CounterOpts{Name: "daisysaddle_log_lines_dropped_total", Help: "Log lines that were dropped to keep their volume bounded."}),
 	}
 	m.panics = prometheus.NewCounter(prometheus.CounterOpts{Name: "daisysaddle_panics_total", Help: "Panics that were caught; it must be zero."})
-	m.registry.MustRegister(m.submits, m.decisions, m.orders, m.store, m.requests, m.intake, m.copies, m.droppedLines, m.panics)
+	m.registry.MustRegister(m.submits, m.decisions, m.orders, m.store, m.requests, m.intake, m.advice, m.advised, m.copies, m.droppedLines, m.panics)
 	return m
 }
 
@@ -65,6 +72,12 @@
 	m.orders.WithLabelValues(kind, string(a)).Observe(d.Seconds())
 }
 
+// observeAdvice records a request to the placement advisor.
+func (m *metrics) observeAdvice(workers int, d time.Duration, err error) {
+	m.advice.WithLabelValues(strconv.FormatBool(err == nil)).Observe(d.Seconds())
+	m.advised.Add(float64(workers))
+}
+
 // MetricsHandler returns the handler that serves the entry's metrics to Prometheus.
 func (n *Node) MetricsHandler() http.Handler {
 	return promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{})
