Ask the placement advisor about all workers, and keep what it says (LOST)

Cause: each request named the first 30 workers with room by id, and each answer replaced all that was known. Nothing was remembered of the workers that the advisor had refused, which does not change, so the next request named the same ones.

Ruled out: that the answer is lost or read wrongly.

Change: a stage keeps the advisor's word on each worker. It asks while tasks wait that its valid tickets can't place: first for new tickets for workers that the policy is known to permit, as many as the tasks need, then about workers with room that the advisor has said nothing of. A failed request says nothing of any worker; one that can't be read whole refuses none. What limits a task (label, tasks on one worker, spread, reservations for other jobs) is checked before a worker is named. The limit of the spread counts also on workers whose tickets have expired, or a task beside its siblings would wait for a ticket that is never asked for (TestSpreadStepWithAdviceReturns). Maintenance looks for other workers by what the policy permits, not by tickets that are valid just then. Where the policy permits too few of the workers, it is logged.

--- a/core/sched/advice.go
+++ b/core/sched/advice.go
@@ -1,6 +1,11 @@
 package sched
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+)
 
 // AdviceResult is the placement advisor's answer: a ticket for each worker that may run the stage, and the time for which
 // the tickets are valid.
@@ -11,44 +16,259 @@
 }
 
 const (
-	adviceRetryDelay = 500 * time.Millisecond // shortest time between two requests about a stage
-	maxAdviceWorkers = 30                     // workers in one request; each adds to the time of the answer
+	adviceRequestSize   = 30                     // workers in one request; each adds to the time of the answer
+	adviceRetryDelay    = 500 * time.Millisecond // delay after a request that failed, doubled for each further one
+	maxAdviceRetryDelay = 8 * time.Second
+	refusalLogInterval  = 10 * time.Second
+)
+
+// permission is what the placement advisor has said of a worker.
+type permission int
+
+const (
+	unknown permission = iota
+	refused
+	permitted
 )
 
-// planAdvice asks the placement advisor about a stage that has no valid ticket.
-func (s *State) planAdvice(now time.Time, st *stage, workers []*worker, o *Orders) {
-	if st.asking || now.Sub(st.askedAt) < adviceRetryDelay {
+// verdict is what the placement advisor has said of a worker about a stage. It holds as long as the worker lives; the ticket expires.
+type verdict struct {
+	permission permission
+	ticket     string
+	expires    time.Time // when the ticket expires; zero after an unclear answer
+	failures   int       // consecutive unclear answers
+	retryAt    time.Time // the advisor is not asked about the worker before then
+}
+
+// verdictOn returns what the placement advisor has said of the worker.
+func (st *stage) verdictOn(w *worker) verdict { return st.verdicts[w.ID] }
+
+// hasTicket reports whether the stage has a valid ticket for the worker, or needs none.
+func (st *stage) hasTicket(now time.Time, q Queue, w *worker) bool {
+	return q.Advice == nil || now.Before(st.verdictOn(w).expires)
+}
+
+// retryDelay returns the delay before the next try, after a number of failures before the last one.
+func retryDelay(failures int, most time.Duration) time.Duration {
+	return min(most, adviceRetryDelay<<min(failures, 8))
+}
+
+// fail records that the advisor's last word on the worker was of no use, so that it is asked again after a delay.
+func (v *verdict) fail(now time.Time) {
+	v.expires = time.Time{}
+	v.retryAt = now.Add(retryDelay(v.failures, maxAdviceRetryDelay))
+	v.failures++
+}
+
+// adviceNeeds are the workers that a stage needs advice about, by what the advice is for.
+type adviceNeeds struct {
+	renewals []*worker // permitted, and a task could start there with a new ticket
+	searched []*worker // unknown, and a task could start there
+}
+
+// planAdvice asks the placement advisor about workers for a stage's waiting tasks. It first asks for new tickets for workers that the policy
+// is known to permit, then about those that the advisor has said nothing of.
+func (s *State) planAdvice(now time.Time, st *stage, q Queue, workers []*worker, o *Orders) {
+	if st.asking || now.Before(st.askedAt) {
+		return
+	}
+	n := s.adviceNeeds(now, st, q, workers)
+	ask := st.enough(n.renewals)
+	if len(ask) == 0 || !st.step.Gang && st.roomOn(ask) < st.waitingTasks() {
+		ask = append(ask, n.searched...)
+	}
+	if len(ask) == 0 {
+		if st.placesOn(workers) < st.leastPlaces() {
+			s.logRefused(now, st, len(workers))
+		}
+		return
+	}
+	st.asking, st.askedAt = true, now
+	request := AdviceRequest{Stage: st.id()}
+	for _, w := range ask[:min(len(ask), adviceRequestSize)] {
+		request.Workers = append(request.Workers, w.ID)
+	}
+	o.AdviceRequests = append(o.AdviceRequests, request)
+}
+
+// logRefused logs that the policy permits the stage to run on too few of the workers.
+func (s *State) logRefused(now time.Time, st *stage, workers int) {
+	if now.Sub(st.refusalLogged) < refusalLogInterval {
 		return
 	}
-	for _, t := range st.tickets {
-		if now.Before(t.expires) {
-			return
+	st.refusalLogged = now
+	s.logDecision("NotPermitted", st.id(), "", "AdvisorPermitsTooFewOf "+strconv.Itoa(workers), 0)
+}
+
+// leastPlaces returns how many tasks of the stage must have a place at once.
+func (st *stage) leastPlaces() int {
+	if st.step.Gang || st.step.LongRunning {
+		return st.step.Count
+	}
+	return 1
+}
+
+// placesOn returns how many tasks of the stage the workers could run at once if they ran nothing else, with those that the advisor has said
+// nothing of, up to the number of its tasks.
+func (st *stage) placesOn(workers []*worker) int {
+	n := 0
+	for _, w := range workers {
+		if st.step.accepts(w) && st.verdictOn(w).permission != refused {
+			n += st.fitting(w.Capacity, st.step.workerLimit())
 		}
 	}
-	ask := AdviceRequest{Stage: TaskID{st.job.ID, st.occurrence.index, st.index, 0}}
+	return n
+}
+
+// adviceNeeds returns the workers that the stage needs advice about, those first that suit it best.
+func (s *State) adviceNeeds(now time.Time, st *stage, q Queue, workers []*worker) (n adviceNeeds) {
+	runsPerWorker, tasks := st.runsPerWorker(), st.distinctTasks(now)
 	for _, w := range workers {
-		if len(ask.Workers) < maxAdviceWorkers && st.step.reserved().Fits(w.free()) {
-			ask.Workers = append(ask.Workers, w.ID)
+		if !st.needsAdvice(now, w, runsPerWorker) {
+			continue
+		}
+		known := st.verdictOn(w).permission == permitted
+		excess := st.excessOn(w, runsPerWorker)
+		startable := slices.ContainsFunc(tasks, func(t *task) bool { return t.couldStartOn(now, w, excess) })
+		switch {
+		case startable && known:
+			n.renewals = append(n.renewals, w)
+		case known:
+		case startable:
+			n.searched = append(n.searched, w)
 		}
 	}
-	if len(ask.Workers) == 0 {
-		return
+	if st.step.Gang && !s.gangCouldStart(now, st, q, workers, n.renewals) {
+		n.renewals = nil
 	}
-	st.asking, st.askedAt = true, now
-	o.AdviceRequests = append(o.AdviceRequests, ask)
+	for _, list := range [][]*worker{n.renewals, n.searched} {
+		slices.SortStableFunc(list, func(a, b *worker) int { return st.compareForAdvice(tasks, a, b) })
+	}
+	return n
+}
+
+// needsAdvice reports whether a task of the stage may start on the worker only after the placement advisor has been asked about it.
+func (st *stage) needsAdvice(now time.Time, w *worker, runsPerWorker map[string]int) bool {
+	v := st.verdictOn(w)
+	return v.permission != refused && !now.Before(v.expires) && !now.Before(v.retryAt) && st.step.accepts(w) && runsPerWorker[w.ID] < st.step.workerLimit()
+}
+
+// couldStartOn reports whether a ticket for the worker is all that the waiting task lacks to start there, with the number of tasks beyond the
+// spread limit that the step would have there. The crashes of the task may still have to be stored.
+func (t *task) couldStartOn(now time.Time, w *worker, excess int) bool {
+	job := t.stage.job.ID
+	switch {
+	case w.runs[t.id()] != nil || !t.stage.step.reserved().Fits(w.free()) || excess > 0 && !t.mayExceedSpread(now):
+		return false
+	}
+	return w.servesJob(job)
+}
+
+// distinctTasks returns the waiting tasks of the stage, but of those that have the same requirements only one.
+func (st *stage) distinctTasks(now time.Time) []*task {
+	var tasks []*task
+	seen := make(map[bool]bool) // by whether the task may exceed the spread limit
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		alike := len(t.avoid) == 0 && len(t.crashes) == 0
+		if !t.waiting() || t.incriminated() || alike && seen[t.mayExceedSpread(now)] {
+			continue
+		}
+		if alike {
+			seen[t.mayExceedSpread(now)] = true
+		}
+		tasks = append(tasks, t)
+	}
+	return tasks
+}
+
+// compareForAdvice orders workers as tasks of the stage are placed: by the number of tasks that avoid them, then by rack, then by load.
+func (st *stage) compareForAdvice(tasks []*task, a, b *worker) int {
+	rack := st.step.PreferredRack
+	avoiding := func(w *worker) (n int) {
+		for _, t := range tasks {
+			n += boolInt(t.avoids(w))
+		}
+		return n
+	}
+	return cmp.Or(
+		cmp.Compare(avoiding(a), avoiding(b)),
+		cmp.Compare(boolInt(rack != "" && a.Rack != rack), boolInt(rack != "" && b.Rack != rack)),
+		cmp.Compare(b.load(), a.load()),
+	)
+}
+
+// roomOn returns the number of tasks of the stage that the workers have room for.
+func (st *stage) roomOn(workers []*worker) int {
+	n := 0
+	runsPerWorker := st.runsPerWorker()
+	for _, w := range workers {
+		n += st.fitting(w.free(), st.step.workerLimit()-runsPerWorker[w.ID])
+	}
+	return n
+}
+
+// enough returns the first of the workers that together have room for the stage's waiting tasks, or all.
+func (st *stage) enough(workers []*worker) []*worker {
+	runsPerWorker, left := st.runsPerWorker(), st.waitingTasks()
+	for i, w := range workers {
+		if left -= st.fitting(w.free(), st.step.workerLimit()-runsPerWorker[w.ID]); left <= 0 {
+			return workers[: i+1 : i+1]
+		}
+	}
+	return workers
+}
+
+// fitting returns how many tasks of the stage fit into the room of a worker that may take so many of them.
+func (st *stage) fitting(room Size, limit int) int {
+	size, n := st.step.reserved(), 0
+	for most := min(st.step.Count, limit); n < most && size.Fits(room); n++ {
+		room = room.Sub(size)
+	}
+	return n
+}
+
+// gangCouldStart reports whether new tickets for the workers are all that the gang lacks to start.
+func (s *State) gangCouldStart(now time.Time, st *stage, q Queue, workers, renewals []*worker) bool {
+	var ticketed []*worker
+	for _, w := range workers {
+		if st.permitted(q, w) && st.hasTicket(now, q, w) && w.servesJob(st.job.ID) {
+			ticketed = append(ticketed, w)
+		}
+	}
+	return st.roomOn(ticketed)+st.roomOn(renewals) >= st.step.Count
 }
 
 // AdviceAnswered records the placement advisor's answer to a request.
-func (s *State) AdviceAnswered(a AdviceRequest, advised AdviceResult) {
+func (s *State) AdviceAnswered(now time.Time, a AdviceRequest, advised AdviceResult) {
 	t := s.find(a.Stage)
-	if t == nil {
+	if t == nil || t.stage.remaining == 0 || t.stage.job.state.Final() {
 		return
 	}
 	st := t.stage
 	st.asking = false
-	st.tickets = make(map[string]ticket, len(advised.Tickets))
-	for id, text := range advised.Tickets {
-		st.tickets[id] = ticket{text, st.askedAt.Add(advised.ValidFor)}
-	}
 	s.placementChanged = true
+	if st.verdicts == nil {
+		st.verdicts = make(map[string]verdict, len(a.Workers))
+	}
+	for _, id := range a.Workers {
+		v := st.verdicts[id]
+		text, good := advised.Tickets[id]
+		switch {
+		case good:
+			v.permission, v.ticket, v.expires = permitted, text, st.askedAt.Add(advised.ValidFor)
+		case advised.Skipped > 0 || v.permission == permitted:
+			v.fail(now) // its row may be one that could not be read
+		default:
+			v.permission = refused
+		}
+		st.verdicts[id] = v
+	}
+}
+
+// AdviceFailed records that a request to the placement advisor got no answer, or none that could be used.
+func (s *State) AdviceFailed(now time.Time, a AdviceRequest) {
+	if t := s.find(a.Stage); t != nil {
+		t.stage.asking, t.stage.askedAt = false, now.Add(adviceRetryDelay)
+	}
 }
--- /dev/null
+++ b/core/sched/advice_test.go
@@ -0,0 +1,240 @@
+package sched
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// simAdvisor simulates the placement advisor, which handles the requests of an owner in turn and issues tickets that the workers check.
+type simAdvisor struct {
+	permits  func(*simWorker) bool
+	timing   Advice
+	idleAt   map[*simOwner]time.Time // when it has handled the owner's requests
+	waiting  map[*simOwner]int
+	tickets  map[string]simTicket
+	requests int
+	rejected int // starts without a valid ticket
+	down     bool
+}
+
+// simTicket is what a ticket permits.
+type simTicket struct {
+	stage     TaskID
+	worker    string
+	startedAt time.Time
+	expires   time.Time
+}
+
+// maxWaitingAdvice is the number of an owner's requests that the placement advisor lets wait.
+const maxWaitingAdvice = 32
+
+// addAdvisor makes a placement advisor choose the workers of the queue of pool p. No machine leaves the pool.
+func (w *simulation) addAdvisor(timing Advice, permits func(*simWorker) bool) *simAdvisor {
+	w.advisor = &simAdvisor{permits: permits, timing: timing, idleAt: make(map[*simOwner]time.Time), waiting: make(map[*simOwner]int), tickets: make(map[string]simTicket)}
+	q := w.config.Queues["q-p"]
+	q.Advice = &timing
+	w.config.Queues["q-p"] = q
+	delete(w.config.Pools, "spare")
+	w.config.Version++
+	w.owner.state.SetConfig(w.config)
+	return w.advisor
+}
+
+// advise handles a request. The time limit of the request includes its wait for earlier ones, and it is handled also if that is over.
+func (w *simulation) advise(o *simOwner, a AdviceRequest) {
+	v := w.advisor
+	if v.waiting[o] > maxWaitingAdvice {
+		w.schedule(simLatency, func() { o.state.AdviceFailed(w.now, a) })
+		return
+	}
+	begins := latest(w.now, v.idleAt[o])
+	ends := begins.Add(v.timing.PerCall + time.Duration(len(a.Workers))*v.timing.PerWorker)
+	v.idleAt[o] = ends
+	v.waiting[o]++
+	v.requests++
+	w.schedule(ends.Sub(w.now), func() { v.waiting[o]-- })
+	if v.down || ends.Sub(w.now) > time.Second {
+		w.schedule(time.Second, func() { o.state.AdviceFailed(w.now, a) })
+		return
+	}
+	w.schedule(ends.Sub(w.now), func() {
+		r := AdviceResult{Tickets: make(map[string]string), ValidFor: v.timing.Valid}
+		for _, id := range a.Workers {
+			if x := w.find(id); x != nil && !x.down && v.permits(x) {
+				text := fmt.Sprint(a.Stage, " ", id, " ", len(v.tickets))
+				v.tickets[text] = simTicket{a.Stage, id, x.StartedAt, w.now.Add(v.timing.Valid)}
+				r.Tickets[id] = text
+			}
+		}
+		w.log("advisor: asked about %d workers for %s, %d may run it", len(a.Workers), a.Stage, len(r.Tickets))
+		o.state.AdviceAnswered(w.now, a, r)
+	})
+}
+
+// ticketValid reports whether a start carries a valid ticket, if its queue needs one.
+func (w *simulation) ticketValid(x *simWorker, s Start) bool {
+	if w.advisor == nil || w.jobs[s.Task.Job].Queue != "q-p" {
+		return true
+	}
+	stage := s.Task
+	stage.Index = 0
+	k := w.advisor.tickets[s.Ticket]
+	valid := k.stage == stage && k.worker == x.ID && k.startedAt.Equal(x.StartedAt) && w.now.Before(k.expires)
+	if !valid {
+		w.advisor.rejected++
+	}
+	return valid
+}
+
+// onMachines permits the workers on the machines with these names.
+func onMachines(names ...string) func(*simWorker) bool {
+	return func(x *simWorker) bool { return strings.Contains(strings.Join(names, " "), machineOf(x)) }
+}
+
+// usualAdvice takes 200 ms for a request about 30 workers.
+var usualAdvice = Advice{PerCall: 50 * time.Millisecond, PerWorker: 5 * time.Millisecond, Valid: 3 * time.Second}
+
+// awaitRuns runs the simulation until a number of tasks of a job run, at most for a time, and fails the test if they never do.
+func (w *simulation) awaitRuns(job string, tasks int, most time.Duration) {
+	w.t.Helper()
+	for end := w.now.Add(most); w.runningTasks(job) < tasks; w.run(simStep) {
+		if w.now.After(end) {
+			w.t.Fatalf("%d tasks of %s run after %s, want %d\n%s", w.runningTasks(job), job, most, tasks, strings.Join(w.trace, "\n"))
+		}
+	}
+}
+
+// alone returns a batch job of whose tasks a worker runs one at a time.
+func alone(id string, count int) Job {
+	j := batch(id, "p", count, 1000, 1)
+	j.Steps[0].MaxPerWorker = 1
+	return j
+}
+
+// TestAdvisedStepStarts guards against LOST: a step with advice never ran where the policy permits none of the first workers that were asked about.
+func TestAdvisedStepStarts(t *testing.T) {
+	gang := alone("j", 4)
+	gang.Steps[0].Gang = true
+	wideGang := alone("j", 40)
+	wideGang.Steps[0].Gang = true
+	labelled := batch("j", "p", 1, 1000, 1)
+	labelled.Steps[0].RequiredLabel = "b"
+	cases := []struct {
+		name     string
+		workers  int
+		timing   Advice
+		permits  func(*simWorker) bool
+		job      Job
+		requests int // most that it may take
+		within   time.Duration
+	}{
+		{"the last by id", 36, usualAdvice, onMachines("m32", "m33", "m34", "m35"), batch("j", "p", 1, 1000, 1), 2, time.Second},
+		{"one of many", 85, usualAdvice, onMachines("m84"), batch("j", "p", 1, 1000, 1), 3, time.Second},
+		{"too few of the first for the step", 36, usualAdvice, onMachines("m00", "m01", "m34", "m35"), alone("j", 4), 2, time.Second},
+		{"too few of the first for the gang", 36, usualAdvice, onMachines("m00", "m10", "m31", "m35"), gang, 2, time.Second},
+		{"a gang of more workers than a request names", 60, usualAdvice, func(*simWorker) bool { return true }, wideGang, 3, time.Second},
+		{"only those with the label", 40, usualAdvice, onMachines("m39"), labelled, 1, time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newSimulation(t, 1, map[string]int{"p": c.workers})
+			for _, x := range w.workers[c.workers-2:] {
+				x.Labels = append(x.Labels, "b")
+			}
+			w.runTime = func(TaskID) time.Duration { return time.Minute }
+			a := w.addAdvisor(c.timing, c.permits)
+			w.run(settleTime)
+			w.submit(c.job)
+			w.awaitRuns("j", c.job.Steps[0].Count, c.within)
+			must.LessEq(t, c.requests, a.requests)
+			must.Zero(t, a.rejected)
+		})
+	}
+}
+
+// TestAdviceIsRemembered guards against requests without end about workers that the policy does not permit.
+func TestAdviceIsRemembered(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 36})
+	w.runTime = func(TaskID) time.Duration { return time.Minute }
+	a := w.addAdvisor(usualAdvice, onMachines("m00"))
+	w.run(settleTime)
+	w.submit(batch("none", "p", 1, 1000, 1))
+	w.awaitRuns("none", 1, time.Second)
+	must.Eq(t, 1, a.requests)
+	a.permits = func(*simWorker) bool { return false }
+	w.submit(batch("j", "p", 1, 1000, 1))
+	w.run(20 * time.Second)
+	must.Eq(t, 3, a.requests)
+	a.permits = onMachines("m36")
+	w.pools["m36"] = "p"
+	w.addWorker("m36")
+	w.awaitRuns("j", 1, 2*time.Second) // a worker that is new is asked about
+	must.Eq(t, 4, a.requests)
+}
+
+// TestAdviceBeyondTheTicketsHeld guards against LOST: a step that held a valid ticket for some worker asked about no others.
+func TestAdviceBeyondTheTicketsHeld(t *testing.T) {
+	cases := []struct {
+		name  string
+		job   Job
+		until func(*simulation) // the worker of the first ticket can't take the job's tasks any more
+	}{
+		{"it is full", alone("j", 2), func(*simulation) {}},
+		{"it is lost for good", longRunningJob("j", "p", 1), func(w *simulation) {
+			delete(w.pools, "m00")
+			w.crash(w.byID["m00-1"])
+		}},
+		{"it is cut off", longRunningJob("j", "p", 1), func(w *simulation) { w.byID["m00-1"].unreachable = true }},
+		{"it drains", longRunningJob("j", "p", 1), func(w *simulation) { w.byID["m00-1"].Draining = true }},
+		{"it is chosen for maintenance", longRunningJob("j", "p", 1), func(w *simulation) {
+			w.maxDown[1] = 1
+			w.owner.state.AddWave(w.now, Wave{Number: 1, TimeLimit: time.Minute, MaxDown: 1, Machines: []string{"m00"}})
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newSimulation(t, 1, map[string]int{"p": 36})
+			w.runTime = func(TaskID) time.Duration { return time.Minute }
+			w.addAdvisor(usualAdvice, onMachines("m00", "m35"))
+			w.run(settleTime)
+			w.submit(c.job)
+			w.awaitRuns("j", 1, time.Second)
+			c.until(w)
+			w.run(lostAfter)
+			must.Eq(t, c.job.Steps[0].Count, w.runningTasks("j"), must.Sprint(strings.Join(w.trace, "\n")))
+		})
+	}
+}
+
+// TestSpreadStepWithAdviceReturns guards against LOST: a long-running task whose worker is lost waited for ever, since the tickets for the others,
+// each with a task of its step, had expired.
+func TestSpreadStepWithAdviceReturns(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 4})
+	w.addAdvisor(usualAdvice, func(*simWorker) bool { return true })
+	w.run(settleTime)
+	w.submit(spreadJob(4))
+	w.run(2 * usualAdvice.Valid)
+	must.Eq(t, 4, w.runningTasks("l"))
+	delete(w.pools, "m01")
+	w.crash(w.byID["m01-2"])
+	w.run(lostAfter)
+	must.Eq(t, 4, w.runningTasks("l"))
+}
+
+// TestAdviceUnderChangesOfOwner guards against LOST: a new owner knows nothing of what an earlier one was told.
+func TestAdviceUnderChangesOfOwner(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 70})
+	w.runTime = func(TaskID) time.Duration { return time.Minute }
+	w.addAdvisor(usualAdvice, onMachines("m69"))
+	w.run(settleTime)
+	w.submit(batch("j", "p", 1, 1000, 1))
+	for range 3 {
+		w.run(300 * time.Millisecond)
+		w.changeOwner()
+	}
+	w.awaitRuns("j", 1, lostAfter)
+}
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -33,15 +33,16 @@
 		if !known || st.job.inherited && s.hasUnseenRuns(q.Name, unseen) || !s.queuePools.add(q.Name, q.Pool) {
 			continue
 		}
-		if q.Advice != nil {
-			s.planAdvice(now, st, pools[q.Pool], o)
-		}
 		size := st.step.reserved()
-		if slices.ContainsFunc(full[q.Pool], func(tooLarge Size) bool { return tooLarge.Fits(size) }) {
-			continue
+		fits := !slices.ContainsFunc(full[q.Pool], func(tooLarge Size) bool { return tooLarge.Fits(size) })
+		if fits {
+			s.placeStage(now, st, q, pools[q.Pool], o)
+		}
+		waits := st.waitingTasks() > 0
+		if q.Advice != nil && waits {
+			s.planAdvice(now, st, q, pools[q.Pool], o)
 		}
-		s.placeStage(now, st, q, pools[q.Pool], o)
-		if st.waitingTasks() > 0 && !slices.ContainsFunc(pools[q.Pool], func(w *worker) bool { return size.Fits(w.free()) }) {
+		if fits && waits && !slices.ContainsFunc(pools[q.Pool], func(w *worker) bool { return size.Fits(w.free()) }) {
 			full[q.Pool] = append(full[q.Pool], size)
 		}
 	}
@@ -227,27 +228,30 @@
 	}
 }
 
-// allowed reports whether the stage's label and tickets permit it to run on a worker.
-func (st *stage) allowed(now time.Time, q Queue, w *worker) bool {
-	if st.step.RequiredLabel != "" && !slices.Contains(w.Labels, st.step.RequiredLabel) {
-		return false
-	}
-	if q.Advice != nil {
-		t, good := st.tickets[w.ID]
-		return good && now.Before(t.expires)
-	}
-	return true
+// accepts reports whether the worker has the label that the step requires.
+func (p *Step) accepts(w *worker) bool {
+	return p.RequiredLabel == "" || slices.Contains(w.Labels, p.RequiredLabel)
+}
+
+// permitted reports whether the stage's label and the placement advisor permit it to run on a worker.
+func (st *stage) permitted(q Queue, w *worker) bool {
+	return st.step.accepts(w) && (q.Advice == nil || st.verdictOn(w).permission == permitted)
 }
 
 // mayRunOn reports whether the stage may have one more task on a worker whatever room it has, with the number of its runs on
-// each worker.
-func (st *stage) mayRunOn(now time.Time, q Queue, w *worker, runsPerWorker map[string]int) bool {
-	return st.allowed(now, q, w) && runsPerWorker[w.ID] < st.step.workerLimit()
+// each worker. To start, it may need a new ticket.
+func (st *stage) mayRunOn(q Queue, w *worker, runsPerWorker map[string]int) bool {
+	return st.permitted(q, w) && runsPerWorker[w.ID] < st.step.workerLimit()
 }
 
 // mayRunOn reports whether the task may run on a worker whatever room it has. The spread limit and the isolation of suspects restrict it further.
-func (t *task) mayRunOn(now time.Time, q Queue, w *worker, runsPerWorker map[string]int) bool {
-	return t.stage.mayRunOn(now, q, w, runsPerWorker) && w.runs[t.id()] == nil
+func (t *task) mayRunOn(q Queue, w *worker, runsPerWorker map[string]int) bool {
+	return t.stage.mayRunOn(q, w, runsPerWorker) && w.runs[t.id()] == nil
+}
+
+// avoids reports whether the task prefers other workers, because it failed on the worker or crashed one at its address.
+func (t *task) avoids(w *worker) bool {
+	return slices.Contains(t.avoid, w.ID) || t.crashedAt(w.Address)
 }
 
 // excessOn returns the number of tasks by which one more of the stage on the worker exceeds the spread limit.
@@ -267,7 +271,7 @@
 	var bestScore score
 	crowded := false // only the spread limit keeps the task off some worker
 	for _, w := range workers {
-		if !size.Fits(w.free()) || !t.mayRunOn(now, q, w, perWorker) || !w.mayStart(t) {
+		if !size.Fits(w.free()) || !t.mayRunOn(q, w, perWorker) || !w.mayStart(t) {
 			continue
 		}
 		excess := st.excessOn(w, perWorker)
@@ -275,9 +279,12 @@
 			crowded = true
 			continue
 		}
+		if !st.hasTicket(now, q, w) {
+			continue
+		}
 		sc := score{
 			excess:    excess,
-			avoided:   slices.Contains(t.avoid, w.ID) || t.crashedAt(w.Address),
+			avoided:   t.avoids(w),
 			otherRack: st.step.PreferredRack != "" && w.Rack != st.step.PreferredRack,
 			suspects:  w.suspects,
 			load:      w.load(),
@@ -411,7 +418,7 @@
 	w.recordStart(now, r)
 	s.extendLease(now, w)
 	s.markStarted(st.job)
-	order := Start{Worker: w.ID, Task: r.id, Run: number, Spec: st.job.Spec, Saved: t.saved, Until: s.leaseEndOn(now, w), Ticket: st.tickets[w.ID].text}
+	order := Start{Worker: w.ID, Task: r.id, Run: number, Spec: st.job.Spec, Saved: t.saved, Until: s.leaseEndOn(now, w), Ticket: st.verdictOn(w).ticket}
 	o.Starts = append(o.Starts, order)
 	s.logDecision("Start", r.id, w.ID, "Placed", number)
 }
--- a/core/sched/sim_test.go
+++ b/core/sched/sim_test.go
@@ -95,6 +95,7 @@
 	config           Config
 	settings         Settings
 	rosterWrites     int // number of roster changes that were stored
+	advisor          *simAdvisor
 }
 
 // taskRun identifies one run of a task.
@@ -326,6 +327,9 @@
 		}
 		w.deliverOrder(o, s.Worker, func(x *simWorker) Answer { return w.start(o, x, s) }, func(a Answer) { o.state.StartAnswered(w.now, s, a) })
 	}
+	for _, a := range orders.AdviceRequests {
+		w.advise(o, a)
+	}
 	for _, s := range orders.Stops {
 		w.deliverOrder(o, s.Worker, func(x *simWorker) Answer { return w.stop(o, x, s) }, func(a Answer) { o.state.StopAnswered(w.now, s, a) })
 	}
@@ -511,6 +515,8 @@
 		return Executed
 	case s.Run <= x.highestEnded[s.Task]:
 		return Superseded
+	case !w.ticketValid(x, s):
+		return NoTicket
 	}
 	w.extend(x, s.Until)
 	step := w.jobs[s.Task.Job].Steps[s.Task.Step]
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -107,21 +107,20 @@
 	index      int
 	step       *Step
 	tasks      []task
-	remaining  int               // number of tasks that are not done
-	blockers   int               // number of steps that must be done first and are not
-	queued     bool              // it is in its queue's stages
-	rank       rank              // as of the last placement
-	gangRun    int64             // number of the gang's last run
-	tickets    map[string]ticket // by worker
-	askedAt    time.Time         // when the placement advisor was last asked
-	asking     bool              // the advisor has not answered yet
+	remaining  int                // number of tasks that are not done
+	blockers   int                // number of steps that must be done first and are not
+	queued     bool               // it is in its queue's stages
+	rank       rank               // as of the last placement
+	gangRun    int64              // number of the gang's last run
+	verdicts   map[string]verdict // by worker, what the placement advisor has said
+	asking     bool               // the placement advisor has not answered yet
+	askedAt    time.Time          // when it was last asked
+	// refusalLogged is when it was last logged that the advisor permits none of the workers.
+	refusalLogged time.Time
 }
 
-// ticket is the placement advisor's permission to run tasks of a stage on a worker.
-type ticket struct {
-	text    string
-	expires time.Time
-}
+// id returns the id of the stage's first task.
+func (st *stage) id() TaskID { return TaskID{st.job.ID, st.occurrence.index, st.index, 0} }
 
 // task is one task of a stage.
 type task struct {
@@ -375,6 +374,7 @@
 	if st.remaining > 0 {
 		return
 	}
+	st.verdicts = nil
 	o := st.occurrence
 	o.remaining--
 	for _, next := range o.stages {
@@ -403,6 +403,9 @@
 	j.state, j.endedAt = state, now
 	for _, o := range j.occurrences {
 		o.requestScan()
+		for _, st := range o.stages {
+			st.verdicts = nil
+		}
 	}
 	s.decisions = append(s.decisions, Decision{Kind: "JobEnded", Job: j.ID, Reason: string(state) + " after " + now.Sub(j.acceptedAt).Round(time.Millisecond).String()})
 	s.markDirty(j)
--- a/core/sched/tasks_test.go
+++ b/core/sched/tasks_test.go
@@ -176,7 +176,7 @@
 	o := w.owner.state.Plan(w.now)
 	must.Len(t, 1, o.AdviceRequests)
 	must.Len(t, 0, o.Starts)
-	w.owner.state.AdviceAnswered(o.AdviceRequests[0], AdviceResult{Tickets: map[string]string{w.workers[1].ID: "t"}, ValidFor: 3 * time.Second})
+	w.owner.state.AdviceAnswered(w.now, o.AdviceRequests[0], AdviceResult{Tickets: map[string]string{w.workers[1].ID: "t"}, ValidFor: 3 * time.Second})
 	o = w.owner.state.Plan(w.now.Add(10 * time.Millisecond))
 	must.Len(t, 2, o.Starts)
 	for _, s := range o.Starts {
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -520,7 +520,7 @@
 	q := s.config.Queues[st.job.Queue]
 	runsPerWorker := st.runsPerWorker()
 	return slices.ContainsFunc(s.sortedWorkers(), func(other *worker) bool {
-		return other != w && other.Pool == q.Pool && other.usable(now) && st.mayRunOn(now, q, other, runsPerWorker) && st.step.reserved().Fits(other.free())
+		return other != w && other.Pool == q.Pool && other.usable(now) && st.mayRunOn(q, other, runsPerWorker) && st.step.reserved().Fits(other.free())
 	})
 }
 
--- a/io/node/dispatch.go
+++ b/io/node/dispatch.go
@@ -280,11 +280,13 @@
 		c.node.metrics.observeAdvice(len(a.Workers), c.node.Now().Sub(sent), err)
 		if err != nil {
 			c.node.log("AdviceFailed").Str("Task", a.Stage.String()).Err(err).Send()
+			c.enqueue(func(now time.Time) { c.state.AdviceFailed(now, a) })
+			return nil
 		}
 		if advised.Skipped > 0 {
 			c.node.logLimited("AdviceRowsSkipped").Str("Task", a.Stage.String()).Int("Rows", advised.Skipped).Send()
 		}
-		c.enqueue(func(time.Time) { c.state.AdviceAnswered(a, advised) })
+		c.enqueue(func(now time.Time) { c.state.AdviceAnswered(now, a, advised) })
 		return nil
 	})
 }
