Send requests for advice in turn, the most urgent first, with time limits of their own (LOST)

Cause: every waiting step sent its own request at once. The advisor handles an entry's requests in turn, and the limit of 1 s for a request counted the wait for the others, so from the sixth on each was given up, while the advisor handled it all the same. The times in the configuration were read by nothing.

Change: the owner has two requests on the way at most, one that is handled and one that waits, and sends the next when the advisor is expected to be idle, for the most urgent step that needs advice then. The limit of a request is twice the time that the configuration states for it and for the one before it, and 1 s; it grows while requests fail, and with the lateness of the last answer. A request names so few workers that two of them take no longer than a ticket is valid, so a gang can use the tickets of both; a gang's renewals go into one. An answer that always takes longer than its tickets are valid is used at once. A step whose requests fail waits longer and holds no others up. Workers without room are asked about at most twice a second, and only when nothing else is to be asked.

Ruled out: more requests at a time, since the advisor takes an entry's requests in turn.

--- a/core/sched/advice.go
+++ b/core/sched/advice.go
@@ -16,12 +16,37 @@
 }
 
 const (
-	adviceRequestSize   = 30                     // workers in one request; each adds to the time of the answer
-	adviceRetryDelay    = 500 * time.Millisecond // delay after a request that failed, doubled for each further one
-	maxAdviceRetryDelay = 8 * time.Second
-	refusalLogInterval  = 10 * time.Second
+	adviceRequestSize    = 30                     // workers in one request; each adds to the time of the answer
+	maxAdviceRequestSize = 100                    // workers in one request that the advisor accepts
+	maxAdviceRequests    = 2                      // unanswered at a time: one that is handled, and one that waits for its turn
+	adviceOverlap        = 50 * time.Millisecond  // a request may be sent this long before the advisor is expected to be idle
+	adviceSlack          = time.Second            // by which an answer may be later than expected
+	adviceRetryDelay     = 500 * time.Millisecond // delay after a request that failed doubled for each further one
+	maxAdviceRetryDelay  = 8 * time.Second
+	maxRequestRetryDelay = 2 * time.Second
+	maxPatienceDoublings = 5
+	fullWorkersDelay     = 500 * time.Millisecond // shortest time between two requests about workers without room
+	refusalLogInterval   = 10 * time.Second
 )
 
+// advisor is the owner's view of the placement advisor, which handles the requests of an entry in turn.
+type advisor struct {
+	requests  map[TaskID]adviceRequest // unanswered, by stage
+	idleAt    time.Time                // when it is expected to have handled them
+	delay     time.Duration            // by which its last answer was later than expected
+	failures  int                      // consecutive requests without an answer
+	stale     int                      // consecutive answers that came after their tickets had expired
+	retryAt   time.Time                // no request is sent before then
+	fullAsked time.Time                // when it was last asked about workers without room
+}
+
+// adviceRequest is a request that the placement advisor has not answered yet.
+type adviceRequest struct {
+	sent     time.Time
+	due      time.Time     // when the answer is expected
+	duration time.Duration // that the advisor takes for it
+}
+
 // permission is what the placement advisor has said of a worker.
 type permission int
 
@@ -60,35 +85,76 @@
 	v.failures++
 }
 
+// requestSize returns the number of workers in one request. Two requests about so many take no longer than a ticket is valid, so that
+// the tickets of both can be used together.
+func (a *Advice) requestSize() int {
+	n := adviceRequestSize
+	if a.PerWorker > 0 && a.Valid > 0 {
+		n = min(n, int(max(a.Valid/2-a.PerCall, a.PerCall)/a.PerWorker))
+	}
+	return max(1, n)
+}
+
+// duration returns the time that the advisor takes for a request about a number of workers.
+func (a *Advice) duration(workers int) time.Duration {
+	return a.PerCall + time.Duration(workers)*a.PerWorker
+}
+
+// mayAsk reports whether a request may be sent. The others wait here rather than at the advisor, so that the most urgent is always the next.
+func (a *advisor) mayAsk(now time.Time) bool {
+	return len(a.requests) < maxAdviceRequests && !now.Before(a.retryAt) && !now.Add(adviceOverlap).Before(a.idleAt)
+}
+
+// patience returns how long to wait for the answer to a request that is due then.
+func (a *advisor) patience(now, due time.Time) time.Duration {
+	return adviceSlack<<min(a.failures/2, maxPatienceDoublings) + 2*(due.Sub(now)+a.delay)
+}
+
+// close removes an answered or failed request.
+func (a *advisor) close(now time.Time, stage TaskID) (adviceRequest, bool) {
+	r, found := a.requests[stage]
+	delete(a.requests, stage)
+	a.idleAt = now
+	for _, other := range a.requests {
+		a.idleAt = a.idleAt.Add(other.duration)
+	}
+	return r, found
+}
+
 // adviceNeeds are the workers that a stage needs advice about, by what the advice is for.
 type adviceNeeds struct {
 	renewals []*worker // permitted, and a task could start there with a new ticket
 	searched []*worker // unknown, and a task could start there
+	full     []*worker // unknown, without room now
 }
 
-// planAdvice asks the placement advisor about workers for a stage's waiting tasks. It first asks for new tickets for workers that the policy
-// is known to permit, then about those that the advisor has said nothing of.
+// planAdvice asks the placement advisor about workers for a stage's waiting tasks, unless the advisor is busy. It first asks for new tickets
+// for workers that the policy is known to permit, then about those that the advisor has said nothing of.
 func (s *State) planAdvice(now time.Time, st *stage, q Queue, workers []*worker, o *Orders) {
-	if st.asking || now.Before(st.askedAt) {
+	id := st.id()
+	_, asked := s.advisor.requests[id]
+	if asked || now.Before(st.adviceRetryAt) || !s.advisor.mayAsk(now) {
 		return
 	}
 	n := s.adviceNeeds(now, st, q, workers)
+	size := q.Advice.requestSize()
 	ask := st.enough(n.renewals)
+	if st.step.Gang {
+		size = min(max(size, len(ask)), maxAdviceRequestSize) // the tickets of all members must be valid at once
+	}
 	if len(ask) == 0 || !st.step.Gang && st.roomOn(ask) < st.waitingTasks() {
 		ask = append(ask, n.searched...)
 	}
-	if len(ask) == 0 {
-		if st.placesOn(workers) < st.leastPlaces() {
-			s.logRefused(now, st, len(workers))
-		}
+	if len(ask) == 0 && now.Sub(s.advisor.fullAsked) >= fullWorkersDelay && len(n.full) > 0 {
+		ask, s.advisor.fullAsked = n.full, now
+	}
+	if len(ask) > 0 {
+		s.askAdvisor(now, id, q.Advice, ask[:min(len(ask), size)], o)
 		return
 	}
-	st.asking, st.askedAt = true, now
-	request := AdviceRequest{Stage: st.id()}
-	for _, w := range ask[:min(len(ask), adviceRequestSize)] {
-		request.Workers = append(request.Workers, w.ID)
+	if st.placesOn(workers) < st.leastPlaces() {
+		s.logRefused(now, st, len(workers))
 	}
-	o.AdviceRequests = append(o.AdviceRequests, request)
 }
 
 // logRefused logs that the policy permits the stage to run on too few of the workers.
@@ -120,6 +186,18 @@
 	return n
 }
 
+// askAdvisor orders a request about the workers.
+func (s *State) askAdvisor(now time.Time, stage TaskID, timing *Advice, workers []*worker, o *Orders) {
+	r := adviceRequest{sent: now, duration: timing.duration(len(workers))}
+	r.due = latest(now, s.advisor.idleAt).Add(r.duration)
+	ask := AdviceRequest{Stage: stage, Timeout: s.advisor.patience(now, r.due)}
+	for _, w := range workers {
+		ask.Workers = append(ask.Workers, w.ID)
+	}
+	s.advisor.requests[stage], s.advisor.idleAt = r, r.due
+	o.AdviceRequests = append(o.AdviceRequests, ask)
+}
+
 // adviceNeeds returns the workers that the stage needs advice about, those first that suit it best.
 func (s *State) adviceNeeds(now time.Time, st *stage, q Queue, workers []*worker) (n adviceNeeds) {
 	runsPerWorker, tasks := st.runsPerWorker(), st.distinctTasks(now)
@@ -136,12 +214,14 @@
 		case known:
 		case startable:
 			n.searched = append(n.searched, w)
+		case st.step.reserved().Fits(w.Capacity):
+			n.full = append(n.full, w)
 		}
 	}
 	if st.step.Gang && !s.gangCouldStart(now, st, q, workers, n.renewals) {
 		n.renewals = nil
 	}
-	for _, list := range [][]*worker{n.renewals, n.searched} {
+	for _, list := range [][]*worker{n.renewals, n.searched, n.full} {
 		slices.SortStableFunc(list, func(a, b *worker) int { return st.compareForAdvice(tasks, a, b) })
 	}
 	return n
@@ -241,22 +321,36 @@
 
 // AdviceAnswered records the placement advisor's answer to a request.
 func (s *State) AdviceAnswered(now time.Time, a AdviceRequest, advised AdviceResult) {
+	r, found := s.advisor.close(now, a.Stage)
+	if !found {
+		return
+	}
+	s.advisor.failures, s.advisor.retryAt, s.advisor.delay = 0, time.Time{}, max(0, now.Sub(r.due))
+	s.placementChanged = true
 	t := s.find(a.Stage)
 	if t == nil || t.stage.remaining == 0 || t.stage.job.state.Final() {
 		return
 	}
 	st := t.stage
-	st.asking = false
-	s.placementChanged = true
 	if st.verdicts == nil {
 		st.verdicts = make(map[string]verdict, len(a.Workers))
 	}
+	st.adviceFailures = 0
+	issued := r.sent // at the earliest
+	switch {
+	case now.Sub(r.sent) < advised.ValidFor:
+		s.advisor.stale = 0
+	case r.duration >= advised.ValidFor || s.advisor.stale > 0:
+		issued = now.Add(-advised.ValidFor / 2) // answers always take as long, so the ticket must have been issued with this one
+	default:
+		s.advisor.stale++
+	}
 	for _, id := range a.Workers {
 		v := st.verdicts[id]
 		text, good := advised.Tickets[id]
 		switch {
 		case good:
-			v.permission, v.ticket, v.expires = permitted, text, st.askedAt.Add(advised.ValidFor)
+			v.permission, v.ticket, v.expires = permitted, text, issued.Add(advised.ValidFor)
 		case advised.Skipped > 0 || v.permission == permitted:
 			v.fail(now) // its row may be one that could not be read
 		default:
@@ -268,7 +362,14 @@
 
 // AdviceFailed records that a request to the placement advisor got no answer, or none that could be used.
 func (s *State) AdviceFailed(now time.Time, a AdviceRequest) {
-	if t := s.find(a.Stage); t != nil {
-		t.stage.asking, t.stage.askedAt = false, now.Add(adviceRetryDelay)
+	if _, found := s.advisor.close(now, a.Stage); !found {
+		return
 	}
+	s.advisor.retryAt = now.Add(retryDelay(s.advisor.failures, maxRequestRetryDelay))
+	s.advisor.failures++
+	if t := s.find(a.Stage); t != nil { // the requests about other stages may succeed
+		t.stage.adviceRetryAt = now.Add(retryDelay(t.stage.adviceFailures, maxAdviceRetryDelay))
+		t.stage.adviceFailures++
+	}
+	s.placementChanged = true
 }
--- a/core/sched/advice_test.go
+++ b/core/sched/advice_test.go
@@ -19,6 +19,7 @@
 	requests int
 	rejected int // starts without a valid ticket
 	down     bool
+	fails    func(TaskID) bool // requests about these stages fail; nil for none
 }
 
 // simTicket is what a ticket permits.
@@ -52,13 +53,17 @@
 		return
 	}
 	begins := latest(w.now, v.idleAt[o])
-	ends := begins.Add(v.timing.PerCall + time.Duration(len(a.Workers))*v.timing.PerWorker)
+	ends := begins.Add(v.timing.duration(len(a.Workers)))
 	v.idleAt[o] = ends
 	v.waiting[o]++
 	v.requests++
 	w.schedule(ends.Sub(w.now), func() { v.waiting[o]-- })
-	if v.down || ends.Sub(w.now) > time.Second {
-		w.schedule(time.Second, func() { o.state.AdviceFailed(w.now, a) })
+	if v.fails != nil && v.fails(a.Stage) {
+		w.schedule(ends.Sub(w.now), func() { o.state.AdviceFailed(w.now, a) })
+		return
+	}
+	if v.down || ends.Sub(w.now) > a.Timeout {
+		w.schedule(a.Timeout, func() { o.state.AdviceFailed(w.now, a) })
 		return
 	}
 	w.schedule(ends.Sub(w.now), func() {
@@ -123,6 +128,7 @@
 	wideGang.Steps[0].Gang = true
 	labelled := batch("j", "p", 1, 1000, 1)
 	labelled.Steps[0].RequiredLabel = "b"
+	slow := Advice{PerCall: 100 * time.Millisecond, PerWorker: 80 * time.Millisecond, Valid: 3 * time.Second}
 	cases := []struct {
 		name     string
 		workers  int
@@ -137,7 +143,11 @@
 		{"too few of the first for the step", 36, usualAdvice, onMachines("m00", "m01", "m34", "m35"), alone("j", 4), 2, time.Second},
 		{"too few of the first for the gang", 36, usualAdvice, onMachines("m00", "m10", "m31", "m35"), gang, 2, time.Second},
 		{"a gang of more workers than a request names", 60, usualAdvice, func(*simWorker) bool { return true }, wideGang, 3, time.Second},
+		{"a gang on workers that are found after the first tickets expire", 60, Advice{PerCall: 100 * time.Millisecond, PerWorker: 80 * time.Millisecond, Valid: 3 * time.Second}, onMachines("m00", "m20", "m40", "m59"), gang, 9, 8 * time.Second},
 		{"only those with the label", 40, usualAdvice, onMachines("m39"), labelled, 1, time.Second},
+		{"an answer that takes over a second", 12, slow, onMachines("m11"), batch("j", "p", 1, 1000, 1), 1, 2 * time.Second},
+		{"each worker takes long", 12, Advice{PerCall: 100 * time.Millisecond, PerWorker: 2 * time.Second, Valid: 3 * time.Second}, onMachines("m11"), batch("j", "p", 1, 1000, 1), 12, 30 * time.Second},
+		{"a request takes longer than tickets are valid", 12, Advice{PerCall: 7 * time.Second, PerWorker: time.Millisecond, Valid: 3 * time.Second}, onMachines("m11"), alone("j", 1), 1, 8 * time.Second},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -176,6 +186,52 @@
 	must.Eq(t, 4, a.requests)
 }
 
+// TestAdviceForManySteps guards against LOST: the requests of steps that are submitted at once waited at the advisor until their time limits,
+// which include that wait, had passed.
+func TestAdviceForManySteps(t *testing.T) {
+	const jobs = 60
+	cases := []struct {
+		name   string
+		within time.Duration
+		permit func(*simWorker) bool
+	}{
+		{"all workers", 14 * time.Second, func(*simWorker) bool { return true }},
+		{"the last workers", 20 * time.Second, onMachines("m32", "m33", "m34", "m35")},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newSimulation(t, 1, map[string]int{"p": 36})
+			w.runTime = func(TaskID) time.Duration { return time.Minute }
+			a := w.addAdvisor(usualAdvice, c.permit)
+			w.run(settleTime)
+			for i := range jobs {
+				w.submit(batch(fmt.Sprint("j", i), "p", 1, 900, 1))
+			}
+			w.run(c.within)
+			running := 0
+			for i := range jobs {
+				running += w.runningTasks(fmt.Sprint("j", i))
+			}
+			must.Eq(t, jobs, running, must.Sprint(a.requests, " requests"))
+			must.Zero(t, a.rejected)
+		})
+	}
+}
+
+// TestUrgentStepIsAdvisedFirst guards against an urgent step that waits behind the requests of all others.
+func TestUrgentStepIsAdvisedFirst(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 36})
+	w.runTime = func(TaskID) time.Duration { return time.Minute }
+	w.addAdvisor(usualAdvice, func(*simWorker) bool { return true })
+	w.run(settleTime)
+	for i := range 40 {
+		w.submit(batch(fmt.Sprint("j", i), "p", 1, 900, 1))
+	}
+	w.run(100 * time.Millisecond)
+	w.submit(longRunningJob("service", "p", 1))
+	w.awaitRuns("service", 1, time.Second)
+}
+
 // TestAdviceBeyondTheTicketsHeld guards against LOST: a step that held a valid ticket for some worker asked about no others.
 func TestAdviceBeyondTheTicketsHeld(t *testing.T) {
 	cases := []struct {
@@ -238,3 +294,36 @@
 	}
 	w.awaitRuns("j", 1, lostAfter)
 }
+
+// TestAdviceAfterAnOutage guards against LOST: a step is not advised once the placement advisor answers again.
+func TestAdviceAfterAnOutage(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 36})
+	w.runTime = func(TaskID) time.Duration { return time.Minute }
+	a := w.addAdvisor(usualAdvice, onMachines("m35"))
+	w.run(settleTime)
+	a.down = true
+	w.submit(batch("j", "p", 1, 1000, 1))
+	w.run(20 * time.Second)
+	must.Less(t, 15, a.requests) // they must not keep the advisor busy for long after it
+	a.down = false
+	w.awaitRuns("j", 1, lostAfter)
+}
+
+// TestFailedRequestsHoldNoOthersUp guards against LOST: the requests about an urgent step always fail, and no other step is asked about.
+func TestFailedRequestsHoldNoOthersUp(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 36})
+	w.runTime = func(TaskID) time.Duration { return time.Minute }
+	a := w.addAdvisor(usualAdvice, func(*simWorker) bool { return true })
+	a.fails = func(stage TaskID) bool { return stage.Job == "urgent" }
+	w.run(settleTime)
+	w.submit(longRunningJob("urgent", "p", 1))
+	for i := range 10 {
+		w.submit(batch(fmt.Sprint("j", i), "p", 1, 900, 1))
+	}
+	w.run(lostAfter)
+	for i := range 10 {
+		must.Eq(t, 1, w.runningTasks(fmt.Sprint("j", i)))
+	}
+	a.fails = nil
+	w.awaitRuns("urgent", 1, lostAfter)
+}
--- a/core/sched/order.go
+++ b/core/sched/order.go
@@ -64,6 +64,7 @@
 type AdviceRequest struct {
 	Stage   TaskID   // the stage's first task
 	Workers []string // ids
+	Timeout time.Duration
 }
 
 // Decision records what the owner decided, for the log and the metrics.
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -18,6 +18,7 @@
 	jobs        map[string]*job
 	queues      map[string]*queue
 	queuePools  queuePools
+	advisor     advisor
 	workers     map[string]*worker
 	departed    map[string]departure // by id: workers that were forgotten and of which a copy of a start may still be executed
 	waves       map[int64]*wave
@@ -102,19 +103,19 @@
 
 // stage is one step of one occurrence of a job.
 type stage struct {
-	job        *job
-	occurrence *occurrence
-	index      int
-	step       *Step
-	tasks      []task
-	remaining  int                // number of tasks that are not done
-	blockers   int                // number of steps that must be done first and are not
-	queued     bool               // it is in its queue's stages
-	rank       rank               // as of the last placement
-	gangRun    int64              // number of the gang's last run
-	verdicts   map[string]verdict // by worker, what the placement advisor has said
-	asking     bool               // the placement advisor has not answered yet
-	askedAt    time.Time          // when it was last asked
+	job            *job
+	occurrence     *occurrence
+	index          int
+	step           *Step
+	tasks          []task
+	remaining      int                // number of tasks that are not done
+	blockers       int                // number of steps that must be done first and are not
+	queued         bool               // it is in its queue's stages
+	rank           rank               // as of the last placement
+	gangRun        int64              // number of the gang's last run
+	verdicts       map[string]verdict // by worker, what the placement advisor has said
+	adviceFailures int                // consecutive requests about the stage without an answer
+	adviceRetryAt  time.Time          // no request about the stage is sent before then
 	// refusalLogged is when it was last logged that the advisor permits none of the workers.
 	refusalLogged time.Time
 }
@@ -168,7 +169,7 @@
 	predecessorRunsEnd := predecessorEnd.Add(maxLeaseTime(settings.runLease()))
 	return &State{
 		token: token, settings: settings,
-		jobs: make(map[string]*job), queues: make(map[string]*queue), queuePools: queuePools{pools: make(map[string]map[string]recordedPool), restored: make(map[string]bool)}, workers: make(map[string]*worker), departed: make(map[string]departure),
+		jobs: make(map[string]*job), queues: make(map[string]*queue), advisor: advisor{requests: make(map[TaskID]adviceRequest)}, queuePools: queuePools{pools: make(map[string]map[string]recordedPool), restored: make(map[string]bool)}, workers: make(map[string]*worker), departed: make(map[string]departure),
 		waves: make(map[int64]*wave), storedWaves: make(map[int64]WaveStatus), machines: make(map[string]Machine), dirty: make(map[string]*job),
 		demands: make(map[string]*poolDemand), moves: make(map[string]*move), executedOrders: make(map[string]executedOrder), runStats: make(map[string]*queueStats), refusedMoves: make(map[moveTarget]bool), scheduled: make(map[string]*job), longRunningJobs: make(map[string]*job), suspectJobs: make(map[string]*job), silent: make(map[string]*silentWorker), began: now, announced: make(map[string]*announcement), promisedRoom: make(map[string]Size),
 		predecessorEnd: predecessorEnd, predecessorRunsEnd: predecessorRunsEnd, unseenRunsEnd: predecessorRunsEnd,
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -55,7 +55,6 @@
 	maxPlanGap           = 40 * time.Millisecond  // a twentieth of the duration of a short task
 	planGapFactor        = 2                      // times the duration of the last plan, which leaves two thirds of the time to other work
 	pollTimeoutMargin    = 700 * time.Millisecond
-	adviceTimeout        = time.Second
 )
 
 func (n *Node) newControl(ctx context.Context, o ownership) *control {
--- a/io/node/dispatch.go
+++ b/io/node/dispatch.go
@@ -272,8 +272,13 @@
 }
 
 func (c *control) askAdvisor(a sched.AdviceRequest) {
+	if c.node.Advisor == nil {
+		c.node.logLimited("AdviceFailed").Str("Task", a.Stage.String()).Str("Reason", "the settings name no placement advisor").Send()
+		c.state.AdviceFailed(c.node.Now(), a)
+		return
+	}
 	c.group.Go(func() error {
-		ctx, cancel := context.WithTimeout(c.ctx, adviceTimeout)
+		ctx, cancel := context.WithTimeout(c.ctx, a.Timeout)
 		defer cancel()
 		sent := c.node.Now()
 		advised, err := c.node.Advisor.Ask(ctx, a)
