Drop a ticket that a worker has rejected, and the word on its earlier incarnations (LOST)

Cause: tickets were kept by the worker's id, a rejection for the ticket changed nothing, and no new ticket was asked for while the old one was valid.

Change: the advisor's word holds for the incarnation that it was asked about. A rejected ticket is dropped, and a new one is asked for after 0.5 s, doubled with each further rejection up to 8 s.

--- a/core/sched/advice.go
+++ b/core/sched/advice.go
@@ -21,7 +21,7 @@
 	maxAdviceRequests    = 2                      // unanswered at a time: one that is handled, and one that waits for its turn
 	adviceOverlap        = 50 * time.Millisecond  // a request may be sent this long before the advisor is expected to be idle
 	adviceSlack          = time.Second            // by which an answer may be later than expected
-	adviceRetryDelay     = 500 * time.Millisecond // delay after a request that failed doubled for each further one
+	adviceRetryDelay     = 500 * time.Millisecond // delay after a request that failed or a ticket that was rejected, doubled for each further one
 	maxAdviceRetryDelay  = 8 * time.Second
 	maxRequestRetryDelay = 2 * time.Second
 	maxPatienceDoublings = 5
@@ -42,9 +42,10 @@
 
 // adviceRequest is a request that the placement advisor has not answered yet.
 type adviceRequest struct {
-	sent     time.Time
-	due      time.Time     // when the answer is expected
-	duration time.Duration // that the advisor takes for it
+	sent       time.Time
+	due        time.Time            // when the answer is expected
+	duration   time.Duration        // that the advisor takes for it
+	startedAts map[string]time.Time // by worker, the start of the incarnation that it asks about
 }
 
 // permission is what the placement advisor has said of a worker.
@@ -56,17 +57,24 @@
 	permitted
 )
 
-// verdict is what the placement advisor has said of a worker about a stage. It holds as long as the worker lives; the ticket expires.
+// verdict is what the placement advisor has said of a worker's incarnation about a stage. It holds as long as the incarnation lives; the
+// ticket expires.
 type verdict struct {
 	permission permission
+	startedAt  time.Time // of the incarnation
 	ticket     string
-	expires    time.Time // when the ticket expires; zero after an unclear answer
-	failures   int       // consecutive unclear answers
+	expires    time.Time // when the ticket expires; zero once a worker has rejected it
+	failures   int       // consecutive rejected tickets and unclear answers
 	retryAt    time.Time // the advisor is not asked about the worker before then
 }
 
-// verdictOn returns what the placement advisor has said of the worker.
-func (st *stage) verdictOn(w *worker) verdict { return st.verdicts[w.ID] }
+// verdictOn returns what the placement advisor has said of the worker's present incarnation.
+func (st *stage) verdictOn(w *worker) verdict {
+	if v := st.verdicts[w.ID]; v.startedAt.Equal(w.StartedAt) {
+		return v
+	}
+	return verdict{startedAt: w.StartedAt}
+}
 
 // hasTicket reports whether the stage has a valid ticket for the worker, or needs none.
 func (st *stage) hasTicket(now time.Time, q Queue, w *worker) bool {
@@ -188,11 +196,12 @@
 
 // askAdvisor orders a request about the workers.
 func (s *State) askAdvisor(now time.Time, stage TaskID, timing *Advice, workers []*worker, o *Orders) {
-	r := adviceRequest{sent: now, duration: timing.duration(len(workers))}
+	r := adviceRequest{sent: now, duration: timing.duration(len(workers)), startedAts: make(map[string]time.Time, len(workers))}
 	r.due = latest(now, s.advisor.idleAt).Add(r.duration)
 	ask := AdviceRequest{Stage: stage, Timeout: s.advisor.patience(now, r.due)}
 	for _, w := range workers {
 		ask.Workers = append(ask.Workers, w.ID)
+		r.startedAts[w.ID] = w.StartedAt
 	}
 	s.advisor.requests[stage], s.advisor.idleAt = r, r.due
 	o.AdviceRequests = append(o.AdviceRequests, ask)
@@ -347,6 +356,9 @@
 	}
 	for _, id := range a.Workers {
 		v := st.verdicts[id]
+		if !v.startedAt.Equal(r.startedAts[id]) {
+			v = verdict{startedAt: r.startedAts[id]}
+		}
 		text, good := advised.Tickets[id]
 		switch {
 		case good:
@@ -373,3 +385,19 @@
 	}
 	s.placementChanged = true
 }
+
+// ticketRejected records that a worker has rejected a start for its ticket.
+func (st *stage) ticketRejected(now time.Time, w *worker, ticket string) {
+	if v := st.verdictOn(w); v.permission == permitted && v.ticket == ticket && !v.expires.IsZero() {
+		v.fail(now)
+		st.verdicts[w.ID] = v
+	}
+}
+
+// ticketAccepted records that a worker has accepted a start with a ticket.
+func (st *stage) ticketAccepted(w *worker) {
+	if v := st.verdictOn(w); v.failures > 0 {
+		v.failures = 0
+		st.verdicts[w.ID] = v
+	}
+}
--- a/core/sched/advice_test.go
+++ b/core/sched/advice_test.go
@@ -266,6 +266,39 @@
 	}
 }
 
+// TestRejectedTicketIsNotUsedAgain guards against LOST: a start with the ticket of a worker's earlier life was ordered again and again.
+func TestRejectedTicketIsNotUsedAgain(t *testing.T) {
+	cases := []struct {
+		name     string
+		spoil    func(*simulation, *simWorker)
+		rejected int // most starts that may be rejected
+	}{
+		{"the worker has a new life", func(w *simulation, x *simWorker) { w.restartUnderID(x) }, 1},
+		{"the worker knows no ticket for a while", func(w *simulation, _ *simWorker) {
+			for end := w.now.Add(4 * time.Second); w.now.Before(end); w.run(simStep) {
+				clear(w.advisor.tickets)
+			}
+		}, 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newSimulation(t, 1, map[string]int{"p": 4})
+			w.runTime = func(TaskID) time.Duration { return 500 * time.Millisecond }
+			timing := usualAdvice
+			timing.Valid = 30 * time.Second
+			a := w.addAdvisor(timing, onMachines("m02"))
+			w.run(settleTime)
+			long := alone("j", 3)
+			w.submit(long)
+			w.awaitRuns("j", 1, time.Second)
+			c.spoil(w, w.byID["m02-3"])
+			w.run(lostAfter)
+			must.Eq(t, Completed, w.stored["j"].State, must.Sprint(strings.Join(w.trace, "\n")))
+			must.LessEq(t, c.rejected, a.rejected)
+		})
+	}
+}
+
 // TestSpreadStepWithAdviceReturns guards against LOST: a long-running task whose worker is lost waited for ever, since the tickets for the others,
 // each with a task of its step, had expired.
 func TestSpreadStepWithAdviceReturns(t *testing.T) {
--- a/core/sched/poll.go
+++ b/core/sched/poll.go
@@ -307,6 +307,9 @@
 	switch answer {
 	case Executed:
 		r.phase, r.confirmedAt, r.startConfirmedAt = running, now, now
+		if r.task != nil {
+			r.task.stage.ticketAccepted(w)
+		}
 		return
 	case Unanswered, Disconnected:
 		w.requestScan()
@@ -324,6 +327,10 @@
 		w.pausedUntil = now.Add(unhealthyPause)
 	case TooLate, NoRoom:
 		w.polled, w.nextPoll = false, now // the owner's view of the worker is wrong
+	case NoTicket:
+		if r.task != nil {
+			r.task.stage.ticketRejected(now, w, order.Ticket)
+		}
 	}
 	s.logDecision("Refused", r.id, w.ID, string(answer), r.number)
 	if r.task != nil {
