Let a task wait for advice rather than run again where it failed

Callers saw: a job failed, as all attempts of a task were spent on one bad worker while another one that the policy permits was idle.

Cause: a task avoids workers on which it failed only by preferring others, and it had a ticket for no other.

Change: a task with a ticket only for workers that it avoids waits while the advisor may yet permit another one with room, unless requests fail. A reservation for a task that is to run alone needs no valid ticket: the ticket is asked for once the worker is free (its test follows with the room that such a ticket needs).

--- a/core/sched/advice.go
+++ b/core/sched/advice.go
@@ -129,6 +129,17 @@
 	return r, found
 }
 
+// mayBeAdvisedBetter reports whether the placement advisor may yet permit the task to start on a worker that it does not avoid.
+func (s *State) mayBeAdvisedBetter(now time.Time, t *task, q Queue, workers []*worker, runsPerWorker map[string]int) bool {
+	st := t.stage
+	if q.Advice == nil || s.advisor.failures > 0 || st.adviceFailures > 0 {
+		return false
+	}
+	return slices.ContainsFunc(workers, func(w *worker) bool {
+		return st.needsAdvice(now, w, runsPerWorker) && !t.avoids(w) && t.couldStartOn(now, w, st.excessOn(w, runsPerWorker))
+	})
+}
+
 // adviceNeeds are the workers that a stage needs advice about, by what the advice is for.
 type adviceNeeds struct {
 	renewals []*worker // permitted, and a task could start there with a new ticket
@@ -249,6 +260,8 @@
 	switch {
 	case w.runs[t.id()] != nil || !t.stage.step.reserved().Fits(w.free()) || excess > 0 && !t.mayExceedSpread(now):
 		return false
+	case t.isolated():
+		return t.awaitedWorker == w.ID && (w.hostsOnly(job) || t.sharesWorker)
 	}
 	return w.servesJob(job)
 }
--- a/core/sched/advice_test.go
+++ b/core/sched/advice_test.go
@@ -342,6 +342,17 @@
 	w.awaitRuns("j", 1, lostAfter)
 }
 
+// TestAvoidedWorkersWaitForAdvice guards against a job that fails: its task was started again where it had failed, since the ticket there was valid.
+func TestAvoidedWorkersWaitForAdvice(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 36})
+	w.addAdvisor(usualAdvice, onMachines("m00", "m35"))
+	w.byID["m00-1"].failing = true
+	w.run(settleTime)
+	w.submit(batch("j", "p", 1, 1000, 1))
+	w.run(lostAfter)
+	must.Eq(t, Completed, w.stored["j"].State, must.Sprint(strings.Join(w.trace, "\n")))
+}
+
 // TestFailedRequestsHoldNoOthersUp guards against LOST: the requests about an urgent step always fail, and no other step is asked about.
 func TestFailedRequestsHoldNoOthersUp(t *testing.T) {
 	w := newSimulation(t, 1, map[string]int{"p": 36})
--- a/core/sched/isolation.go
+++ b/core/sched/isolation.go
@@ -185,7 +185,7 @@
 		default:
 			left = w.roomBesides(st.job.ID)
 		}
-		if !size.Fits(left) || !t.mayRunOn(q, w, runsPerWorker) || !st.hasTicket(now, q, w) {
+		if !size.Fits(left) || !t.mayRunOn(q, w, runsPerWorker) {
 			continue
 		}
 		excess := st.excessOn(w, runsPerWorker)
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -299,6 +299,9 @@
 	if best == nil && crowded {
 		t.waitForSpread(now)
 	}
+	if best != nil && bestScore.avoided && s.mayBeAdvisedBetter(now, t, q, workers, perWorker) {
+		return nil
+	}
 	return best
 }
 
