Hold room for the most urgent step while it waits for a new ticket (LOST)

Callers saw: a step never ran where the workers that the policy permits are always full. Not seen on a deployment: found by a test.

Cause: a step asks for a new ticket once a permitted worker has room, and less urgent steps took that room before the answer came. The ticket had expired when the worker had room again. A task that is to run alone got no worker of its own in the same way.

Change: while placing, the room that the most urgent step could use with a new ticket is kept from the steps after it: for one step at a time, and not while requests fail.

--- a/core/sched/advice.go
+++ b/core/sched/advice.go
@@ -129,6 +129,12 @@
 	return r, found
 }
 
+// heldRoom is room on a worker that is kept from less urgent stages during one placement.
+type heldRoom struct {
+	worker *worker
+	size   Size
+}
+
 // mayBeAdvisedBetter reports whether the placement advisor may yet permit the task to start on a worker that it does not avoid.
 func (s *State) mayBeAdvisedBetter(now time.Time, t *task, q Queue, workers []*worker, runsPerWorker map[string]int) bool {
 	st := t.stage
@@ -148,14 +154,23 @@
 }
 
 // planAdvice asks the placement advisor about workers for a stage's waiting tasks, unless the advisor is busy. It first asks for new tickets
-// for workers that the policy is known to permit, then about those that the advisor has said nothing of.
-func (s *State) planAdvice(now time.Time, st *stage, q Queue, workers []*worker, o *Orders) {
+// for workers that the policy is known to permit, then about those that the advisor has said nothing of. It returns room to hold for the
+// stage until it has a ticket, for which it needs no more than one stage at a time.
+func (s *State) planAdvice(now time.Time, st *stage, q Queue, workers []*worker, mayHold bool, o *Orders) []heldRoom {
 	id := st.id()
 	_, asked := s.advisor.requests[id]
-	if asked || now.Before(st.adviceRetryAt) || !s.advisor.mayAsk(now) {
-		return
+	mayAsk := !asked && !now.Before(st.adviceRetryAt) && s.advisor.mayAsk(now)
+	if !mayAsk && !mayHold {
+		return nil
 	}
 	n := s.adviceNeeds(now, st, q, workers)
+	var held []heldRoom
+	if mayHold && s.advisor.failures == 0 {
+		held = st.holdRoom(n.renewals)
+	}
+	if !mayAsk {
+		return held
+	}
 	size := q.Advice.requestSize()
 	ask := st.enough(n.renewals)
 	if st.step.Gang {
@@ -169,11 +184,12 @@
 	}
 	if len(ask) > 0 {
 		s.askAdvisor(now, id, q.Advice, ask[:min(len(ask), size)], o)
-		return
+		return held
 	}
 	if st.placesOn(workers) < st.leastPlaces() {
 		s.logRefused(now, st, len(workers))
 	}
+	return held
 }
 
 // logRefused logs that the policy permits the stage to run on too few of the workers.
@@ -341,6 +357,21 @@
 	return st.roomOn(ticketed)+st.roomOn(renewals) >= st.step.Count
 }
 
+// holdRoom sets room aside on the workers for the stage's waiting tasks, for the rest of a placement.
+func (st *stage) holdRoom(workers []*worker) []heldRoom {
+	var held []heldRoom
+	size, runsPerWorker, left := st.step.reserved(), st.runsPerWorker(), st.waitingTasks()
+	for _, w := range workers {
+		n := min(left, st.fitting(w.free(), st.step.workerLimit()-runsPerWorker[w.ID]))
+		left -= n
+		for range n {
+			w.used = w.used.Add(size)
+			held = append(held, heldRoom{w, size})
+		}
+	}
+	return held
+}
+
 // AdviceAnswered records the placement advisor's answer to a request.
 func (s *State) AdviceAnswered(now time.Time, a AdviceRequest, advised AdviceResult) {
 	r, found := s.advisor.close(now, a.Stage)
--- a/core/sched/advice_test.go
+++ b/core/sched/advice_test.go
@@ -342,6 +342,66 @@
 	w.awaitRuns("j", 1, lostAfter)
 }
 
+// TestAdvisedStepGetsRoomOnABusyWorker guards against LOST: the only worker that the policy permits had room for moments, in which the step had no ticket.
+func TestAdvisedStepGetsRoomOnABusyWorker(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 2})
+	w.runTime = func(id TaskID) time.Duration {
+		if id.Job == "j" {
+			return time.Minute
+		}
+		return 4500 * time.Millisecond
+	}
+	w.addAdvisor(usualAdvice, onMachines("m01"))
+	urgent := w.config.Queues["q-p"]
+	urgent.Target = time.Hour
+	w.config.Queues["q-p"] = urgent
+	w.config.Queues["q-other"] = Queue{Name: "q-other", Pool: "p", Priority: 1, Attempts: 3, Stretch: 1.6, Target: 600 * time.Millisecond}
+	w.config.Version++
+	w.owner.state.SetConfig(w.config)
+	w.run(settleTime)
+	others := 0
+	w.repeat(100*time.Millisecond, func() {
+		j := batch(fmt.Sprint("other", others), "p", 1, 16000, 1)
+		j.Queue = "q-other"
+		others++
+		if others < 300 {
+			w.submit(j)
+		}
+	})
+	w.run(time.Second)
+	w.submit(batch("j", "p", 1, 16000, 1))
+	w.awaitRuns("j", 1, 20*time.Second)
+}
+
+// TestSuspectWithAdviceRunsAlone guards against LOST: a task that is to run alone got no worker of its own, since all were full whenever it had a ticket.
+func TestSuspectWithAdviceRunsAlone(t *testing.T) {
+	for _, j := range []Job{batch("j", "p", 1, 16000, 1), longRunningJob("j", "p", 1)} {
+		w := newSimulation(t, 1, map[string]int{"p": 4})
+		w.runTime = func(id TaskID) time.Duration {
+			if id.Job == "j" {
+				return 2 * time.Second
+			}
+			return 7 * time.Second
+		}
+		w.addAdvisor(usualAdvice, onMachines("m02", "m03"))
+		urgent := w.config.Queues["q-p"]
+		urgent.Target = time.Hour
+		w.config.Queues["q-p"] = urgent
+		w.config.Queues["q-other"] = Queue{Name: "q-other", Pool: "p", Priority: 1, Attempts: 3, Stretch: 1.6, Target: time.Hour}
+		w.config.Version++
+		w.owner.state.SetConfig(w.config)
+		w.run(settleTime)
+		w.submit(j)
+		w.crashUnder(TaskID{Job: "j"}, isolationCrashes)
+		for i := range 60 {
+			other := batch(fmt.Sprint("other", i), "p", 1, 16000, 1)
+			other.Queue = "q-other"
+			w.submit(other)
+		}
+		must.True(t, w.awaitRun(TaskID{Job: "j"}, 2*lostAfter), must.Sprint(strings.Join(w.trace, "\n")))
+	}
+}
+
 // TestAvoidedWorkersWaitForAdvice guards against a job that fails: its task was started again where it had failed, since the ticket there was valid.
 func TestAvoidedWorkersWaitForAdvice(t *testing.T) {
 	w := newSimulation(t, 1, map[string]int{"p": 36})
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -28,6 +28,12 @@
 	}
 	s.planIsolation(now, pools)
 	full := make(map[string][]Size) // by pool: sizes that fit on none of its workers
+	var held []heldRoom
+	defer func() {
+		for _, h := range held {
+			h.worker.used = h.worker.used.Sub(h.size)
+		}
+	}()
 	for _, st := range s.placementOrder(now) {
 		q, known := s.config.Queues[st.job.Queue]
 		if !known || st.job.inherited && s.hasUnseenRuns(q.Name, unseen) || !s.queuePools.add(q.Name, q.Pool) {
@@ -40,7 +46,8 @@
 		}
 		waits := st.waitingTasks() > 0
 		if q.Advice != nil && waits {
-			s.planAdvice(now, st, q, pools[q.Pool], o)
+			mayHold := fits && len(held) == 0 && len(st.verdicts) > 0
+			held = append(held, s.planAdvice(now, st, q, pools[q.Pool], mayHold, o)...)
 		}
 		if fits && waits && !slices.ContainsFunc(pools[q.Pool], func(w *worker) bool { return size.Fits(w.free()) }) {
 			full[q.Pool] = append(full[q.Pool], size)
