Ask for advice where maintenance seeks a place for a task

Operators would see: a wave that never ends. Not seen on a deployment: found by a test.

Cause: tasks are moved off a worker with more of them than may be unavailable only if another worker has room. An owner that was never told whether the policy permits another one asked nobody, since no task waited.

Change: where maintenance finds no such worker, the next placement asks the advisor about those that it has said nothing of.

--- a/core/sched/advice.go
+++ b/core/sched/advice.go
@@ -146,6 +146,16 @@
 	})
 }
 
+// planSoughtAdvice asks the placement advisor about workers to which maintenance could move tasks that run.
+func (s *State) planSoughtAdvice(now time.Time, pools map[string][]*worker, o *Orders) {
+	for _, st := range s.sought {
+		if q := s.config.Queues[st.job.Queue]; q.Advice != nil && !st.job.state.Final() && st.waitingTasks() == 0 {
+			s.planAdvice(now, st, q, pools[q.Pool], false, o)
+		}
+	}
+	s.sought = s.sought[:0]
+}
+
 // adviceNeeds are the workers that a stage needs advice about, by what the advice is for.
 type adviceNeeds struct {
 	renewals []*worker // permitted, and a task could start there with a new ticket
@@ -244,11 +254,12 @@
 		known := st.verdictOn(w).permission == permitted
 		excess := st.excessOn(w, runsPerWorker)
 		startable := slices.ContainsFunc(tasks, func(t *task) bool { return t.couldStartOn(now, w, excess) })
+		sought := len(tasks) == 0 && st.step.reserved().Fits(w.free()) && w.servesJob(st.job.ID)
 		switch {
 		case startable && known:
 			n.renewals = append(n.renewals, w)
 		case known:
-		case startable:
+		case startable || sought:
 			n.searched = append(n.searched, w)
 		case st.step.reserved().Fits(w.Capacity):
 			n.full = append(n.full, w)
--- a/core/sched/advice_test.go
+++ b/core/sched/advice_test.go
@@ -413,6 +413,32 @@
 	must.Eq(t, Completed, w.stored["j"].State, must.Sprint(strings.Join(w.trace, "\n")))
 }
 
+// TestWaveEmptiesCrowdedWorkersWithAdvice guards against a wave that never ends: no task could be moved off a crowded worker, since the tickets
+// for the others had expired, or a new owner had never asked for any.
+func TestWaveEmptiesCrowdedWorkersWithAdvice(t *testing.T) {
+	for _, newOwner := range []bool{false, true} {
+		w := newSimulation(t, 1, map[string]int{"p": 2})
+		w.addAdvisor(usualAdvice, func(*simWorker) bool { return true })
+		w.run(settleTime)
+		w.submit(spreadJob(4))
+		w.run(2 * spreadWait)
+		must.Eq(t, 4, w.runningTasks("l"))
+		if newOwner {
+			w.changeOwner()
+			w.run(2 * spreadWait)
+		}
+		wave := Wave{Number: 1, TimeLimit: time.Minute, MaxDown: 1, Machines: []string{"m00"}}
+		w.maxDown[1] = wave.MaxDown
+		w.owner.state.AddWave(w.now, wave)
+		for end := w.now.Add(wave.TimeLimit); !w.waves[1].Completed && w.now.Before(end); {
+			w.run(time.Second)
+		}
+		must.True(t, w.waves[1].Completed, must.Sprint(strings.Join(w.trace, "\n")))
+		w.run(2 * spreadWait)
+		must.Eq(t, 4, w.runningTasks("l"))
+	}
+}
+
 // TestFailedRequestsHoldNoOthersUp guards against LOST: the requests about an urgent step always fail, and no other step is asked about.
 func TestFailedRequestsHoldNoOthersUp(t *testing.T) {
 	w := newSimulation(t, 1, map[string]int{"p": 36})
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -53,6 +53,7 @@
 			full[q.Pool] = append(full[q.Pool], size)
 		}
 	}
+	s.planSoughtAdvice(now, pools, o)
 }
 
 // mayHaveUnseenRuns reports whether the worker may have runs of an earlier owner that no poll has shown yet. The ownership must be confirmed up
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -19,6 +19,7 @@
 	queues      map[string]*queue
 	queuePools  queuePools
 	advisor     advisor
+	sought      []*stage // for which maintenance has found no other worker since the last placement
 	workers     map[string]*worker
 	departed    map[string]departure // by id: workers that were forgotten and of which a copy of a start may still be executed
 	waves       map[int64]*wave
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -515,13 +515,18 @@
 	s.uncordon(p.machine)
 }
 
-// hasPlaceBeside reports whether a worker other than w has room for one more task of the stage.
+// hasPlaceBeside reports whether a worker other than w has room for one more task of the stage. If none has, as far as the placement advisor
+// was asked, the next placement asks about others.
 func (s *State) hasPlaceBeside(now time.Time, st *stage, w *worker) bool {
 	q := s.config.Queues[st.job.Queue]
 	runsPerWorker := st.runsPerWorker()
-	return slices.ContainsFunc(s.sortedWorkers(), func(other *worker) bool {
+	found := slices.ContainsFunc(s.sortedWorkers(), func(other *worker) bool {
 		return other != w && other.Pool == q.Pool && other.usable(now) && st.mayRunOn(q, other, runsPerWorker) && st.step.reserved().Fits(other.free())
 	})
+	if !found && q.Advice != nil {
+		s.sought = append(s.sought, st)
+	}
+	return found
 }
 
 // isStopping reports whether a run of the step is being stopped on the worker.
