Let a pool grow for a step that the policy permits on too few of its workers (LOST)

Callers saw: a step never ran once its pool had shrunk to workers that the policy does not permit; the others stood in the spare pool. Not seen on a deployment: found by the tests of this change, whose pools shrank.

Cause: the size of a pool follows from the resources that its tasks request. One worker with room was enough for the step by that measure.

Change: when the advisor has refused so many workers that the rest could not hold the step (one task of it; all tasks of a gang or of a long-running step), the pool wants one worker more than it has, until the step has started.

--- a/core/sched/advice.go
+++ b/core/sched/advice.go
@@ -196,7 +196,9 @@
 		s.askAdvisor(now, id, q.Advice, ask[:min(len(ask), size)], o)
 		return held
 	}
+	st.wantedWorkers = 0
 	if st.placesOn(workers) < st.leastPlaces() {
+		st.wantedWorkers = len(workers) + 1
 		s.logRefused(now, st, len(workers))
 	}
 	return held
--- a/core/sched/advice_test.go
+++ b/core/sched/advice_test.go
@@ -457,3 +457,22 @@
 	a.fails = nil
 	w.awaitRuns("urgent", 1, lostAfter)
 }
+
+// TestPoolGrowsForAdvisedStep guards against LOST: a pool had machines enough, but the policy permits none of them, or too few for a gang.
+func TestPoolGrowsForAdvisedStep(t *testing.T) {
+	gang := alone("j", 2)
+	gang.Steps[0].Gang = true
+	for _, j := range []Job{alone("j", 1), gang, longRunningJob("j", "p", 2)} {
+		w := newSimulation(t, 1, map[string]int{"p": 3, "spare": 5})
+		w.runTime = func(TaskID) time.Duration { return time.Minute }
+		w.addAdvisor(usualAdvice, onMachines("m02", "m07"))
+		w.config.Pools["spare"] = Pool{Name: "spare", Spare: true}
+		w.config.Version++
+		w.owner.state.SetConfig(w.config)
+		w.run(settleTime)
+		w.submit(batch("first", "p", 1, 1000, 1))
+		w.run(4 * time.Second)
+		w.submit(j)
+		w.awaitRuns("j", j.Steps[0].Count, 40*time.Second)
+	}
+}
--- a/core/sched/sizing.go
+++ b/core/sched/sizing.go
@@ -24,6 +24,7 @@
 	inUse         vector        // resources of the runs
 	longRunning   vector        // resources of the long-running tasks, running or waiting, and of the waiting backfill tasks
 	minWorkers    int           // workers that the long-running steps need to be spread over
+	wanted        int           // workers that a step wants because the placement advisor permits too few of those there
 	isolated      int           // machines for tasks that run alone because workers crashed under them
 	machines      int           // machines that serve the pool or are on their way to it, see countMachines
 	recentJobs    float64       // number of arrivals, averaged over shortRateWindow
@@ -182,7 +183,7 @@
 func (s *State) measureDemand(now time.Time) {
 	for _, l := range s.demands {
 		l.decayRates(now)
-		l.backlog, l.inUse, l.longRunning, l.minWorkers = vector{}, vector{}, vector{}, 0
+		l.backlog, l.inUse, l.longRunning, l.minWorkers, l.wanted = vector{}, vector{}, vector{}, 0, 0
 	}
 	for _, w := range s.workers {
 		l := s.demandOf(w.Pool)
@@ -204,6 +205,7 @@
 			if st.job.inherited && blocked {
 				continue // its tasks may not be started yet, so more machines would not help
 			}
+			l.wanted = max(l.wanted, st.wantedWorkers)
 			n := st.waitingTasks()
 			seconds := s.estimate(name, st.step).Seconds()
 			if st.step.LongRunning || st.step.Backfill {
@@ -267,7 +269,7 @@
 	if s.maintenanceLeft() {
 		floor = max(floor, l.minWorkers+1) // a task whose machine is due needs another worker
 	}
-	return floor, max(int(math.Ceil(all)), floor) + l.isolated
+	return floor, max(max(int(math.Ceil(all)), floor)+l.isolated, l.wanted)
 }
 
 // maintenanceLeft reports whether a wave has machines whose maintenance has not begun.
