Shorten the search for a worker while other steps wait for advice

Callers saw: of many jobs submitted at once each waited for requests about 30 workers, 0.2 s each, also where most workers are permitted.

Cause: each search named as many workers as a request may.

Change: while other steps wait, a search names 1.5 times as many workers as would be needed by the share of workers that the advisor has permitted to the queue's steps. A step that waits by itself still asks about 30.

--- a/core/sched/advice.go
+++ b/core/sched/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -38,6 +39,29 @@
 	stale     int                      // consecutive answers that came after their tickets had expired
 	retryAt   time.Time                // no request is sent before then
 	fullAsked time.Time                // when it was last asked about workers without room
+	waiting   int                      // stages that waited for tickets in the last placement
+	shares    map[string]permitShare   // by queue
+}
+
+// permitShare tells how many of the workers that a queue's steps asked about were permitted.
+type permitShare struct{ asked, permitted float64 }
+
+const (
+	shareWindow  = 300.0 // number of answers about a worker over which the share is taken
+	searchMargin = 1.5   // by which a short search asks about more workers than are expected to suffice
+)
+
+// record adds the advisor's word on a worker.
+func (p permitShare) record(permitted bool) permitShare {
+	if p.asked >= shareWindow {
+		p.asked, p.permitted = p.asked/2, p.permitted/2
+	}
+	return permitShare{p.asked + 1, p.permitted + float64(boolInt(permitted))}
+}
+
+// shortSearch returns the number of workers to ask about so that probably as many as needed are permitted.
+func (p permitShare) shortSearch(needed int) int {
+	return int(math.Ceil(searchMargin * float64(needed) * (p.asked + 2) / (p.permitted + 1)))
 }
 
 // adviceRequest is a request that the placement advisor has not answered yet.
@@ -187,7 +211,11 @@
 		size = min(max(size, len(ask)), maxAdviceRequestSize) // the tickets of all members must be valid at once
 	}
 	if len(ask) == 0 || !st.step.Gang && st.roomOn(ask) < st.waitingTasks() {
-		ask = append(ask, n.searched...)
+		searched := n.searched
+		if s.advisor.waiting > 1 { // the shorter each request is, the sooner the others are handled
+			searched = searched[:min(len(searched), s.advisor.shares[st.job.Queue].shortSearch(len(st.enough(searched))))]
+		}
+		ask = append(ask, searched...)
 	}
 	if len(ask) == 0 && now.Sub(s.advisor.fullAsked) >= fullWorkersDelay && len(n.full) > 0 {
 		ask, s.advisor.fullAsked = n.full, now
@@ -417,6 +445,9 @@
 			v = verdict{startedAt: r.startedAts[id]}
 		}
 		text, good := advised.Tickets[id]
+		if v.permission == unknown && advised.Skipped == 0 {
+			s.advisor.shares[st.job.Queue] = s.advisor.shares[st.job.Queue].record(good)
+		}
 		switch {
 		case good:
 			v.permission, v.ticket, v.expires = permitted, text, issued.Add(advised.ValidFor)
--- a/core/sched/advice_test.go
+++ b/core/sched/advice_test.go
@@ -195,8 +195,8 @@
 		within time.Duration
 		permit func(*simWorker) bool
 	}{
-		{"all workers", 14 * time.Second, func(*simWorker) bool { return true }},
-		{"the last workers", 20 * time.Second, onMachines("m32", "m33", "m34", "m35")},
+		{"all workers", 5 * time.Second, func(*simWorker) bool { return true }},
+		{"the last workers", 12 * time.Second, onMachines("m32", "m33", "m34", "m35")},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -29,6 +29,7 @@
 	s.planIsolation(now, pools)
 	full := make(map[string][]Size) // by pool: sizes that fit on none of its workers
 	var held []heldRoom
+	unadvised := 0
 	defer func() {
 		for _, h := range held {
 			h.worker.used = h.worker.used.Sub(h.size)
@@ -46,6 +47,7 @@
 		}
 		waits := st.waitingTasks() > 0
 		if q.Advice != nil && waits {
+			unadvised++
 			mayHold := fits && len(held) == 0 && len(st.verdicts) > 0
 			held = append(held, s.planAdvice(now, st, q, pools[q.Pool], mayHold, o)...)
 		}
@@ -53,6 +55,7 @@
 			full[q.Pool] = append(full[q.Pool], size)
 		}
 	}
+	s.advisor.waiting = unadvised
 	s.planSoughtAdvice(now, pools, o)
 }
 
