Stop no task for maintenance in vain (AVAIL)

Callers would see: a task of a long-running step is stopped again and again for a wave, some 3 s each time, and the machine is never emptied.

Cause: a worker with more tasks of a step than may be unavailable at once was emptied one task at a time while another worker had room for one, also if the next one, or another step on the worker, had no room elsewhere. The machine was then left to tasks again, and the stopped task came back.

Change: the first task is stopped once the other workers have room for all of the tasks by which each step exceeds what may be unavailable.

--- a/core/sched/advice_test.go
+++ b/core/sched/advice_test.go
@@ -476,3 +476,26 @@
 		w.awaitRuns("j", j.Steps[0].Count, 40*time.Second)
 	}
 }
+
+// TestWaveStopsNoTaskInVain guards against AVAIL: a task was stopped for a wave on a worker that can't be emptied, since another step has no room elsewhere.
+func TestWaveStopsNoTaskInVain(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 2})
+	w.workers[0].Labels = append(w.workers[0].Labels, "b")
+	w.run(settleTime)
+	w.submit(spreadJob(4))
+	only := spreadJob(2)
+	only.ID, only.Steps[0].RequiredLabel = "only", "b"
+	w.submit(only)
+	w.run(2 * spreadWait)
+	starts := 0
+	for _, n := range w.starts {
+		starts += n
+	}
+	w.maxDown[1] = 1
+	w.owner.state.AddWave(w.now, Wave{Number: 1, TimeLimit: time.Minute, MaxDown: 1, Machines: []string{"m00"}})
+	w.run(30 * time.Second)
+	for _, n := range w.starts {
+		starts -= n
+	}
+	must.Zero(t, starts)
+}
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -469,7 +469,7 @@
 // stopExcessTask prepares a worker for maintenance when it runs more tasks of a long-running step than may be unavailable
 // at once. It stops one of them, which then starts on another worker, and only while all other tasks are available. It reports whether it did.
 func (s *State) stopExcessTask(now time.Time, w *worker) (stopped bool) {
-	if !w.crowded() {
+	if !w.crowded() || !s.mayEmpty(now, w) {
 		return false
 	}
 	taken := make(map[*stage]int)
@@ -480,7 +480,7 @@
 		st := r.task.stage
 		taken[st]++
 		othersAway := st.unavailable(nil) - boolInt(!r.available())
-		if taken[st] > max(1, st.step.MaxUnavailable) && othersAway == 0 && !w.isStopping(st) && s.hasPlaceBeside(now, st, w) {
+		if taken[st] > max(1, st.step.MaxUnavailable) && othersAway == 0 && !w.isStopping(st) {
 			r.phase = stopping
 			w.requestScan()
 			s.logDecision("Stop", r.id, w.ID, "UpkeepDue", r.number)
@@ -515,18 +515,31 @@
 	s.uncordon(p.machine)
 }
 
-// hasPlaceBeside reports whether a worker other than w has room for one more task of the stage. If none has, as far as the placement advisor
-// was asked, the next placement asks about others.
-func (s *State) hasPlaceBeside(now time.Time, st *stage, w *worker) bool {
+// mayEmpty reports whether the other workers have room for all tasks by which steps exceed on w what may be unavailable at once. If they have
+// not, as far as the placement advisor was asked, the next placement asks about others.
+func (s *State) mayEmpty(now time.Time, w *worker) bool {
+	may := true
+	for st, n := range w.longRunningRuns() {
+		if excess := n - max(1, st.step.MaxUnavailable); excess > 0 && s.placesBeside(now, st, w) < excess {
+			may = false
+			if s.config.Queues[st.job.Queue].Advice != nil {
+				s.sought = append(s.sought, st)
+			}
+		}
+	}
+	return may
+}
+
+// placesBeside returns how many more tasks of the stage the workers other than w have room for.
+func (s *State) placesBeside(now time.Time, st *stage, w *worker) int {
 	q := s.config.Queues[st.job.Queue]
-	runsPerWorker := st.runsPerWorker()
-	found := slices.ContainsFunc(s.sortedWorkers(), func(other *worker) bool {
-		return other != w && other.Pool == q.Pool && other.usable(now) && st.mayRunOn(q, other, runsPerWorker) && st.step.reserved().Fits(other.free())
-	})
-	if !found && q.Advice != nil {
-		s.sought = append(s.sought, st)
-	}
-	return found
+	n, runsPerWorker := 0, st.runsPerWorker()
+	for _, other := range s.sortedWorkers() {
+		if other != w && other.Pool == q.Pool && other.usable(now) && st.permitted(q, other) {
+			n += st.fitting(other.free(), st.step.workerLimit()-runsPerWorker[other.ID])
+		}
+	}
+	return n
 }
 
 // isStopping reports whether a run of the step is being stopped on the worker.
