Ask for advice first where the fewest tasks of the step run (AVAIL)

Callers would see: a long-running task is started on a worker with most tasks of its step, so that one crash takes more of them.

Cause: workers were named by rack and load, and a start takes the best of the workers with a valid ticket. After a loss that was the busiest worker. The ticket was asked for only once the wait for the spread limit was over.

Change: workers are named by the number of tasks beyond the spread limit first; a task waits for advice on a worker with fewer; and the ticket is asked for 1 s before the wait for the spread limit ends, on one worker. In the tests the simulated advisor's policy may depend on the stage.

--- a/core/sched/advice.go
+++ b/core/sched/advice.go
@@ -27,6 +27,7 @@
 	maxRequestRetryDelay = 2 * time.Second
 	maxPatienceDoublings = 5
 	fullWorkersDelay     = 500 * time.Millisecond // shortest time between two requests about workers without room
+	spreadLead           = time.Second            // a task is advised this long before it may exceed the spread limit
 	refusalLogInterval   = 10 * time.Second
 )
 
@@ -159,14 +160,17 @@
 	size   Size
 }
 
-// mayBeAdvisedBetter reports whether the placement advisor may yet permit the task to start on a worker that it does not avoid.
-func (s *State) mayBeAdvisedBetter(now time.Time, t *task, q Queue, workers []*worker, runsPerWorker map[string]int) bool {
+// mayBeAdvisedBetter reports whether the placement advisor may yet permit the task to start on a worker that suits it better than one with
+// this score: fewer tasks beyond the spread limit, or the task avoids the other worker and not this one.
+func (s *State) mayBeAdvisedBetter(now time.Time, t *task, q Queue, best score, workers []*worker, runsPerWorker map[string]int) bool {
 	st := t.stage
-	if q.Advice == nil || s.advisor.failures > 0 || st.adviceFailures > 0 {
+	if q.Advice == nil || best.excess == 0 && !best.avoided || s.advisor.failures > 0 || st.adviceFailures > 0 {
 		return false
 	}
 	return slices.ContainsFunc(workers, func(w *worker) bool {
-		return st.needsAdvice(now, w, runsPerWorker) && !t.avoids(w) && t.couldStartOn(now, w, st.excessOn(w, runsPerWorker))
+		excess := st.excessOn(w, runsPerWorker)
+		better := excess < best.excess || excess == best.excess && best.avoided && !t.avoids(w)
+		return better && st.needsAdvice(now, w, runsPerWorker) && t.couldStartOn(now, w, excess)
 	})
 }
 
@@ -277,12 +281,13 @@
 // adviceNeeds returns the workers that the stage needs advice about, those first that suit it best.
 func (s *State) adviceNeeds(now time.Time, st *stage, q Queue, workers []*worker) (n adviceNeeds) {
 	runsPerWorker, tasks := st.runsPerWorker(), st.distinctTasks(now)
+	ticketed := st.leastTicketedExcess(now, q, workers, runsPerWorker)
 	for _, w := range workers {
-		if !st.needsAdvice(now, w, runsPerWorker) {
+		excess := st.excessOn(w, runsPerWorker)
+		if !st.needsAdvice(now, w, runsPerWorker) || excess > 0 && excess >= ticketed {
 			continue
 		}
 		known := st.verdictOn(w).permission == permitted
-		excess := st.excessOn(w, runsPerWorker)
 		startable := slices.ContainsFunc(tasks, func(t *task) bool { return t.couldStartOn(now, w, excess) })
 		sought := len(tasks) == 0 && st.step.reserved().Fits(w.free()) && w.servesJob(st.job.ID)
 		switch {
@@ -299,11 +304,23 @@
 		n.renewals = nil
 	}
 	for _, list := range [][]*worker{n.renewals, n.searched, n.full} {
-		slices.SortStableFunc(list, func(a, b *worker) int { return st.compareForAdvice(tasks, a, b) })
+		slices.SortStableFunc(list, func(a, b *worker) int { return st.compareForAdvice(tasks, runsPerWorker, a, b) })
 	}
 	return n
 }
 
+// leastTicketedExcess returns the least number of tasks beyond the spread limit that one more task would cause on a worker with a valid
+// ticket and room.
+func (st *stage) leastTicketedExcess(now time.Time, q Queue, workers []*worker, runsPerWorker map[string]int) int {
+	least := math.MaxInt
+	for _, w := range workers {
+		if st.hasTicket(now, q, w) && st.mayRunOn(q, w, runsPerWorker) && st.step.reserved().Fits(w.free()) && w.servesJob(st.job.ID) {
+			least = min(least, st.excessOn(w, runsPerWorker))
+		}
+	}
+	return least
+}
+
 // needsAdvice reports whether a task of the stage may start on the worker only after the placement advisor has been asked about it.
 func (st *stage) needsAdvice(now time.Time, w *worker, runsPerWorker map[string]int) bool {
 	v := st.verdictOn(w)
@@ -315,7 +332,7 @@
 func (t *task) couldStartOn(now time.Time, w *worker, excess int) bool {
 	job := t.stage.job.ID
 	switch {
-	case w.runs[t.id()] != nil || !t.stage.step.reserved().Fits(w.free()) || excess > 0 && !t.mayExceedSpread(now):
+	case w.runs[t.id()] != nil || !t.stage.step.reserved().Fits(w.free()) || excess > 0 && !t.mayExceedSpread(now.Add(spreadLead)):
 		return false
 	case t.isolated():
 		return t.awaitedWorker == w.ID && (w.hostsOnly(job) || t.sharesWorker)
@@ -341,8 +358,9 @@
 	return tasks
 }
 
-// compareForAdvice orders workers as tasks of the stage are placed: by the number of tasks that avoid them, then by rack, then by load.
-func (st *stage) compareForAdvice(tasks []*task, a, b *worker) int {
+// compareForAdvice orders workers as tasks of the stage are placed: by the tasks beyond the spread limit, by the number of tasks that avoid
+// them, by rack, then by load.
+func (st *stage) compareForAdvice(tasks []*task, runsPerWorker map[string]int, a, b *worker) int {
 	rack := st.step.PreferredRack
 	avoiding := func(w *worker) (n int) {
 		for _, t := range tasks {
@@ -351,6 +369,7 @@
 		return n
 	}
 	return cmp.Or(
+		cmp.Compare(st.excessOn(a, runsPerWorker), st.excessOn(b, runsPerWorker)),
 		cmp.Compare(avoiding(a), avoiding(b)),
 		cmp.Compare(boolInt(rack != "" && a.Rack != rack), boolInt(rack != "" && b.Rack != rack)),
 		cmp.Compare(b.load(), a.load()),
--- a/core/sched/advice_test.go
+++ b/core/sched/advice_test.go
@@ -11,7 +11,8 @@
 
 // simAdvisor simulates the placement advisor, which handles the requests of an owner in turn and issues tickets that the workers check.
 type simAdvisor struct {
-	permits  func(*simWorker) bool
+	queue    string
+	permits  func(TaskID, *simWorker) bool
 	timing   Advice
 	idleAt   map[*simOwner]time.Time // when it has handled the owner's requests
 	waiting  map[*simOwner]int
@@ -33,13 +34,18 @@
 // maxWaitingAdvice is the number of an owner's requests that the placement advisor lets wait.
 const maxWaitingAdvice = 32
 
-// addAdvisor makes a placement advisor choose the workers of the queue of pool p. No machine leaves the pool.
-func (w *simulation) addAdvisor(timing Advice, permits func(*simWorker) bool) *simAdvisor {
-	w.advisor = &simAdvisor{permits: permits, timing: timing, idleAt: make(map[*simOwner]time.Time), waiting: make(map[*simOwner]int), tickets: make(map[string]simTicket)}
-	q := w.config.Queues["q-p"]
-	q.Advice = &timing
-	w.config.Queues["q-p"] = q
+// addAdvisor makes a placement advisor choose the workers of the queue of pool p, with no spare pool to which its machines could go.
+func (w *simulation) addAdvisor(timing Advice, permits func(TaskID, *simWorker) bool) *simAdvisor {
 	delete(w.config.Pools, "spare")
+	return w.adviseQueue("q-p", timing, permits)
+}
+
+// adviseQueue makes a placement advisor choose the workers of a queue.
+func (w *simulation) adviseQueue(queue string, timing Advice, permits func(TaskID, *simWorker) bool) *simAdvisor {
+	w.advisor = &simAdvisor{queue: queue, permits: permits, timing: timing, idleAt: make(map[*simOwner]time.Time), waiting: make(map[*simOwner]int), tickets: make(map[string]simTicket)}
+	q := w.config.Queues[queue]
+	q.Advice = &timing
+	w.config.Queues[queue] = q
 	w.config.Version++
 	w.owner.state.SetConfig(w.config)
 	return w.advisor
@@ -69,7 +75,7 @@
 	w.schedule(ends.Sub(w.now), func() {
 		r := AdviceResult{Tickets: make(map[string]string), ValidFor: v.timing.Valid}
 		for _, id := range a.Workers {
-			if x := w.find(id); x != nil && !x.down && v.permits(x) {
+			if x := w.find(id); x != nil && !x.down && v.permits(a.Stage, x) {
 				text := fmt.Sprint(a.Stage, " ", id, " ", len(v.tickets))
 				v.tickets[text] = simTicket{a.Stage, id, x.StartedAt, w.now.Add(v.timing.Valid)}
 				r.Tickets[id] = text
@@ -82,7 +88,7 @@
 
 // ticketValid reports whether a start carries a valid ticket, if its queue needs one.
 func (w *simulation) ticketValid(x *simWorker, s Start) bool {
-	if w.advisor == nil || w.jobs[s.Task.Job].Queue != "q-p" {
+	if w.advisor == nil || w.jobs[s.Task.Job].Queue != w.advisor.queue {
 		return true
 	}
 	stage := s.Task
@@ -96,8 +102,8 @@
 }
 
 // onMachines permits the workers on the machines with these names.
-func onMachines(names ...string) func(*simWorker) bool {
-	return func(x *simWorker) bool { return strings.Contains(strings.Join(names, " "), machineOf(x)) }
+func onMachines(names ...string) func(TaskID, *simWorker) bool {
+	return func(_ TaskID, x *simWorker) bool { return strings.Contains(strings.Join(names, " "), machineOf(x)) }
 }
 
 // usualAdvice takes 200 ms for a request about 30 workers.
@@ -133,7 +139,7 @@
 		name     string
 		workers  int
 		timing   Advice
-		permits  func(*simWorker) bool
+		permits  func(TaskID, *simWorker) bool
 		job      Job
 		requests int // most that it may take
 		within   time.Duration
@@ -142,7 +148,7 @@
 		{"one of many", 85, usualAdvice, onMachines("m84"), batch("j", "p", 1, 1000, 1), 3, time.Second},
 		{"too few of the first for the step", 36, usualAdvice, onMachines("m00", "m01", "m34", "m35"), alone("j", 4), 2, time.Second},
 		{"too few of the first for the gang", 36, usualAdvice, onMachines("m00", "m10", "m31", "m35"), gang, 2, time.Second},
-		{"a gang of more workers than a request names", 60, usualAdvice, func(*simWorker) bool { return true }, wideGang, 3, time.Second},
+		{"a gang of more workers than a request names", 60, usualAdvice, func(TaskID, *simWorker) bool { return true }, wideGang, 3, time.Second},
 		{"a gang on workers that are found after the first tickets expire", 60, Advice{PerCall: 100 * time.Millisecond, PerWorker: 80 * time.Millisecond, Valid: 3 * time.Second}, onMachines("m00", "m20", "m40", "m59"), gang, 9, 8 * time.Second},
 		{"only those with the label", 40, usualAdvice, onMachines("m39"), labelled, 1, time.Second},
 		{"an answer that takes over a second", 12, slow, onMachines("m11"), batch("j", "p", 1, 1000, 1), 1, 2 * time.Second},
@@ -175,7 +181,7 @@
 	w.submit(batch("none", "p", 1, 1000, 1))
 	w.awaitRuns("none", 1, time.Second)
 	must.Eq(t, 1, a.requests)
-	a.permits = func(*simWorker) bool { return false }
+	a.permits = func(TaskID, *simWorker) bool { return false }
 	w.submit(batch("j", "p", 1, 1000, 1))
 	w.run(20 * time.Second)
 	must.Eq(t, 3, a.requests)
@@ -193,9 +199,9 @@
 	cases := []struct {
 		name   string
 		within time.Duration
-		permit func(*simWorker) bool
+		permit func(TaskID, *simWorker) bool
 	}{
-		{"all workers", 5 * time.Second, func(*simWorker) bool { return true }},
+		{"all workers", 5 * time.Second, func(TaskID, *simWorker) bool { return true }},
 		{"the last workers", 12 * time.Second, onMachines("m32", "m33", "m34", "m35")},
 	}
 	for _, c := range cases {
@@ -222,7 +228,7 @@
 func TestUrgentStepIsAdvisedFirst(t *testing.T) {
 	w := newSimulation(t, 1, map[string]int{"p": 36})
 	w.runTime = func(TaskID) time.Duration { return time.Minute }
-	w.addAdvisor(usualAdvice, func(*simWorker) bool { return true })
+	w.addAdvisor(usualAdvice, func(TaskID, *simWorker) bool { return true })
 	w.run(settleTime)
 	for i := range 40 {
 		w.submit(batch(fmt.Sprint("j", i), "p", 1, 900, 1))
@@ -303,7 +309,7 @@
 // each with a task of its step, had expired.
 func TestSpreadStepWithAdviceReturns(t *testing.T) {
 	w := newSimulation(t, 1, map[string]int{"p": 4})
-	w.addAdvisor(usualAdvice, func(*simWorker) bool { return true })
+	w.addAdvisor(usualAdvice, func(TaskID, *simWorker) bool { return true })
 	w.run(settleTime)
 	w.submit(spreadJob(4))
 	w.run(2 * usualAdvice.Valid)
@@ -418,7 +424,7 @@
 func TestWaveEmptiesCrowdedWorkersWithAdvice(t *testing.T) {
 	for _, newOwner := range []bool{false, true} {
 		w := newSimulation(t, 1, map[string]int{"p": 2})
-		w.addAdvisor(usualAdvice, func(*simWorker) bool { return true })
+		w.addAdvisor(usualAdvice, func(TaskID, *simWorker) bool { return true })
 		w.run(settleTime)
 		w.submit(spreadJob(4))
 		w.run(2 * spreadWait)
@@ -443,7 +449,7 @@
 func TestFailedRequestsHoldNoOthersUp(t *testing.T) {
 	w := newSimulation(t, 1, map[string]int{"p": 36})
 	w.runTime = func(TaskID) time.Duration { return time.Minute }
-	a := w.addAdvisor(usualAdvice, func(*simWorker) bool { return true })
+	a := w.addAdvisor(usualAdvice, func(TaskID, *simWorker) bool { return true })
 	a.fails = func(stage TaskID) bool { return stage.Job == "urgent" }
 	w.run(settleTime)
 	w.submit(longRunningJob("urgent", "p", 1))
@@ -477,6 +483,36 @@
 	}
 }
 
+// occupy runs a service on the worker that leaves so much of its processors, in thousandths.
+func (w *simulation) occupy(x *simWorker, left int) {
+	x.Labels = append(x.Labels, "occupied")
+	w.listWorkers(w.owner)
+	w.config.Queues["q-services"] = Queue{Name: "q-services", Pool: x.Pool}
+	w.config.Version++
+	w.owner.state.SetConfig(w.config)
+	w.submit(Job{ID: "service", Queue: "q-services", Steps: []Step{{Count: 1, Size: Size{Processors: x.Capacity.Processors - left}, LongRunning: true, RequiredLabel: "occupied"}}})
+	w.run(100 * time.Millisecond)
+}
+
+// TestAdvisedTaskIsSpread guards against AVAIL: a task was placed on the busiest worker, with two of its step, as the advisor was asked about that one first.
+func TestAdvisedTaskIsSpread(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 3})
+	w.addAdvisor(usualAdvice, func(TaskID, *simWorker) bool { return true })
+	w.run(settleTime)
+	w.occupy(w.byID["m00-1"], 8000)
+	w.submit(spreadJob(4))
+	w.run(2 * spreadWait)
+	delete(w.pools, "m02")
+	w.crash(w.byID["m02-3"])
+	w.run(lostAfter)
+	must.Eq(t, 4, w.runningTasks("l"))
+	perWorker := make(map[string]int)
+	for _, x := range w.runsOf("l") {
+		perWorker[x.ID]++
+	}
+	must.Eq(t, map[string]int{"m00-1": 2, "m01-2": 2}, perWorker)
+}
+
 // TestWaveStopsNoTaskInVain guards against AVAIL: a task was stopped for a wave on a worker that can't be emptied, since another step has no room elsewhere.
 func TestWaveStopsNoTaskInVain(t *testing.T) {
 	w := newSimulation(t, 1, map[string]int{"p": 2})
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -310,7 +310,7 @@
 	if best == nil && crowded {
 		t.waitForSpread(now)
 	}
-	if best != nil && bestScore.avoided && s.mayBeAdvisedBetter(now, t, q, workers, perWorker) {
+	if best != nil && s.mayBeAdvisedBetter(now, t, q, bestScore, workers, perWorker) {
 		return nil
 	}
 	return best
