Let a pool grow for advised steps beside services and for maintenance, within limits (LOST)

Callers saw: a step that the policy permits only on a worker whose room a long-running task takes never ran. Operators would see a pool that holds all machines for a step that the policy permits nowhere.

Cause: whether the workers could hold the step was judged by their whole capacity.

Change: what long-running tasks take does not count; the number counts from the workers that the advisor has spoken of; maintenance that finds no place makes the pool grow too; a step makes its pool grow for a minute, then rests for as long.

--- a/core/sched/advice.go
+++ b/core/sched/advice.go
@@ -29,6 +29,8 @@
 	fullWorkersDelay     = 500 * time.Millisecond // shortest time between two requests about workers without room
 	spreadLead           = time.Second            // a task is advised this long before it may exceed the spread limit
 	refusalLogInterval   = 10 * time.Second
+	wantTime             = time.Second // for which a stage wants another worker in its pool; it is renewed while the need lasts
+	maxGrowthTime        = time.Minute // for which a pool grows for a stage that the policy permits on too few workers, and then rests
 )
 
 // advisor is the owner's view of the placement advisor, which handles the requests of an entry in turn.
@@ -228,14 +230,29 @@
 		s.askAdvisor(now, id, q.Advice, ask[:min(len(ask), size)], o)
 		return held
 	}
-	st.wantedWorkers = 0
 	if st.placesOn(workers) < st.leastPlaces() {
-		st.wantedWorkers = len(workers) + 1
+		s.wantWorker(now, st, q)
 		s.logRefused(now, st, len(workers))
 	}
 	return held
 }
 
+// wantWorker makes the stage's pool grow by a worker that the placement advisor may permit, unless it has not for maxGrowthTime.
+func (s *State) wantWorker(now time.Time, st *stage, q Queue) {
+	if st.growsSince.IsZero() || now.Sub(st.wantedUntil) > maxGrowthTime {
+		st.growsSince = now
+	}
+	if now.Sub(st.growsSince) > maxGrowthTime {
+		return
+	}
+	st.wantedUntil, st.wantedWorkers = now.Add(wantTime), 1
+	for _, w := range s.workers {
+		if w.Pool == q.Pool && w.listed && (st.verdictOn(w).permission != unknown || !st.step.accepts(w)) {
+			st.wantedWorkers++
+		}
+	}
+}
+
 // logRefused logs that the policy permits the stage to run on too few of the workers.
 func (s *State) logRefused(now time.Time, st *stage, workers int) {
 	if now.Sub(st.refusalLogged) < refusalLogInterval {
@@ -253,18 +270,30 @@
 	return 1
 }
 
-// placesOn returns how many tasks of the stage the workers could run at once if they ran nothing else, with those that the advisor has said
-// nothing of, up to the number of its tasks.
+// placesOn returns how many tasks of the stage the workers could run at once, with those that run, beside long-running tasks alone.
+// Workers that the advisor has said nothing of count too.
 func (st *stage) placesOn(workers []*worker) int {
-	n := 0
+	n, runsPerWorker := 0, st.runsPerWorker()
 	for _, w := range workers {
+		n += runsPerWorker[w.ID]
 		if st.step.accepts(w) && st.verdictOn(w).permission != refused {
-			n += st.fitting(w.Capacity, st.step.workerLimit())
+			n += st.fitting(w.roomBesideServices(), st.step.workerLimit()-runsPerWorker[w.ID])
 		}
 	}
 	return n
 }
 
+// roomBesideServices returns the capacity that the worker has once its batch tasks are done.
+func (w *worker) roomBesideServices() Size {
+	room := w.Capacity
+	for _, r := range w.runs {
+		if r.task != nil && r.task.stage.step.LongRunning {
+			room = room.Sub(r.size)
+		}
+	}
+	return room
+}
+
 // askAdvisor orders a request about the workers.
 func (s *State) askAdvisor(now time.Time, stage TaskID, timing *Advice, workers []*worker, o *Orders) {
 	r := adviceRequest{sent: now, duration: timing.duration(len(workers)), startedAts: make(map[string]time.Time, len(workers))}
--- a/core/sched/advice_test.go
+++ b/core/sched/advice_test.go
@@ -494,6 +494,30 @@
 	w.run(100 * time.Millisecond)
 }
 
+// TestPoolGrowsBesideServices guards against LOST: the policy permits only a worker whose room a long-running task takes.
+func TestPoolGrowsBesideServices(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 3, "spare": 5})
+	w.addAdvisor(usualAdvice, onMachines("m02", "m07"))
+	w.config.Pools["spare"] = Pool{Name: "spare", Spare: true}
+	w.run(settleTime)
+	w.occupy(w.byID["m02-3"], 1000)
+	w.submit(batch("j", "p", 1, 2000, 1))
+	w.awaitRuns("j", 1, 40*time.Second)
+}
+
+// TestPoolDoesNotGrowForEver guards against a pool that holds all machines for a step that the policy permits nowhere.
+func TestPoolDoesNotGrowForEver(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 3, "spare": 9})
+	w.addAdvisor(usualAdvice, onMachines())
+	w.config.Pools["spare"] = Pool{Name: "spare", Spare: true}
+	w.run(settleTime)
+	w.submit(batch("j", "p", 1, 2000, 1))
+	w.run(maxGrowthTime)
+	must.Eq(t, 12, w.owner.state.demands["p"].machines)
+	w.run(maxGrowthTime / 2)
+	must.Eq(t, 1, w.owner.state.demands["p"].machines)
+}
+
 // TestAdvisedTaskIsSpread guards against AVAIL: a task was placed on the busiest worker, with two of its step, as the advisor was asked about that one first.
 func TestAdvisedTaskIsSpread(t *testing.T) {
 	w := newSimulation(t, 1, map[string]int{"p": 3})
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -427,7 +427,7 @@
 	r := &run{id: t.id(), task: t, number: number, phase: starting, size: st.step.reserved(), since: now, saved: t.saved, pace: fullPercent}
 	t.run, t.lastRun = r, number
 	t.waitsAloneSince, t.waitsForSpreadSince, t.sharesWorker = time.Time{}, time.Time{}, false
-	st.wantedWorkers = 0
+	st.growsSince = time.Time{}
 	w.suspects += boolInt(len(t.crashes) > 0)
 	s.reserve(w, r)
 	w.recordStart(now, r)
--- a/core/sched/sizing.go
+++ b/core/sched/sizing.go
@@ -205,7 +205,7 @@
 			if st.job.inherited && blocked {
 				continue // its tasks may not be started yet, so more machines would not help
 			}
-			l.wanted = max(l.wanted, st.wantedWorkers)
+			l.wanted = max(l.wanted, st.wanted(now))
 			n := st.waitingTasks()
 			seconds := s.estimate(name, st.step).Seconds()
 			if st.step.LongRunning || st.step.Backfill {
@@ -220,6 +220,12 @@
 			delete(s.longRunningJobs, id)
 			continue
 		}
+		for _, o := range j.occurrences {
+			for _, st := range o.stages { // maintenance may want a worker for tasks that run
+				l := s.demandOf(s.config.Queues[j.Queue].Pool)
+				l.wanted = max(l.wanted, st.wanted(now))
+			}
+		}
 		for i := range j.Steps {
 			if step := &j.Steps[i]; step.LongRunning && step.spreadLimit() < step.Count {
 				l := s.demandOf(s.config.Queues[j.Queue].Pool)
@@ -229,6 +235,14 @@
 	}
 }
 
+// wanted returns the number of workers that the stage wants its pool to have.
+func (st *stage) wanted(now time.Time) int {
+	if now.After(st.wantedUntil) {
+		return 0
+	}
+	return st.wantedWorkers
+}
+
 // countMachines counts the machines that serve each pool or are on their way to it. A machine whose worker drains, or
 // left more than one poll in a row unanswered, does not count.
 func (s *State) countMachines() {
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -117,8 +117,10 @@
 	verdicts       map[string]verdict // by worker, what the placement advisor has said
 	adviceFailures int                // consecutive requests about the stage without an answer
 	adviceRetryAt  time.Time          // no request about the stage is sent before then
-	// wantedWorkers is the number of workers that its pool should have because the advisor permits too few of those there; zero if it does not.
+	// wantedWorkers is the number of workers that its pool should have until wantedUntil, because the advisor permits too few of those there.
 	wantedWorkers int
+	wantedUntil   time.Time
+	growsSince    time.Time // since when it has wanted more workers
 	// refusalLogged is when it was last logged that the advisor permits none of the workers.
 	refusalLogged time.Time
 }
