Let each third history of the soak have a placement advisor

Cause: the simulation had one test of advice, with three workers. Change: the policy permits each job of one queue on half of the machines, drawn by the names of the job and the machine. Such a history runs a minute longer, since waves take longer where few workers are permitted; a job that the policy permits on too few workers of its pool need not end.

--- a/core/sched/soak_test.go
+++ b/core/sched/soak_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/shoenig/test/must"
 )
 
@@ -80,6 +81,26 @@
 	return false
 }
 
+// policyHolds reports whether the placement advisor permits enough workers of the job's pool for all tasks of each of its steps.
+func (w *simulation) policyHolds(id string) bool {
+	j := w.jobs[id]
+	if j.Queue != w.advisor.queue {
+		return true
+	}
+	for _, step := range j.Steps {
+		places := 0
+		for _, x := range w.workers {
+			if !x.down && x.Pool == w.config.Queues[j.Queue].Pool && w.advisor.permits(TaskID{Job: id}, x) {
+				places += min(step.Count, step.workerLimit())
+			}
+		}
+		if places < step.Count {
+			return false
+		}
+	}
+	return true
+}
+
 // TestSoak guards against broken invariants and lost jobs under random troubles.
 func TestSoak(t *testing.T) {
 	for seed := *soakFirst; seed < *soakFirst+*soakSeeds; seed++ {
@@ -87,6 +108,10 @@
 			r := rand.New(rand.NewPCG(seed, simStream))
 			w := newSimulation(t, seed, map[string]int{"a": 6, "b": 6, "spare": 3})
 			w.crashesKeepIDs = seed%2 == 1
+			advised := seed%3 == 0
+			if advised { // the policy permits each job on half of the machines
+				w.adviseQueue("q-a", usualAdvice, func(stage TaskID, x *simWorker) bool { return xxhash.Sum64String(stage.Job+machineOf(x))%2 == 0 })
+			}
 			w.run(settleTime)
 			tasks := make(map[string]int) // by long-running job
 			wave := int64(0)
@@ -104,8 +129,12 @@
 				w.run(time.Duration(50+r.IntN(700)) * time.Millisecond)
 			}
 			w.run(45 * time.Second)
+			if advised { // a wave takes longer where few workers are permitted
+				w.run(time.Minute)
+			}
 			for id := range w.jobs {
 				switch n, longRunning := tasks[id]; {
+				case advised && !w.policyHolds(id): // no more machines can come
 				case w.stored[id].State == Failed:
 					must.True(t, w.mayGiveUp(id), must.Sprint(id))
 				case longRunning:
