Ask first about the workers that other steps of the queue were permitted on

Callers saw: where the policy permits four of 36 workers, each of 60 jobs submitted at once still waited for a request about some 30 of them (11.2 s until all had started, with real processes).

Cause: the number of workers in a short search followed from the share of permitted workers in all requests, and the workers that came first were the refused ones, so the requests grew again to their full size.

Change: the owner counts for each worker how often steps of the queue were permitted there. Workers that were mostly refused come last, and a search names workers until 1.5 times as many as needed are expected to be permitted.

--- a/core/sched/advice.go
+++ b/core/sched/advice.go
@@ -43,28 +43,82 @@
 	retryAt   time.Time                // no request is sent before then
 	fullAsked time.Time                // when it was last asked about workers without room
 	waiting   int                      // stages that waited for tickets in the last placement
-	shares    map[string]permitShare   // by queue
+	queues    map[string]*queuePermits
 }
 
-// permitShare tells how many of the workers that a queue's steps asked about were permitted.
-type permitShare struct{ asked, permitted float64 }
+// permitCount counts answers about workers, and those that permitted them.
+type permitCount struct{ answers, permitted float64 }
 
 const (
-	shareWindow  = 300.0 // number of answers about a worker over which the share is taken
+	queueWindow  = 300.0 // number of answers over which the share of permitted workers of a queue is taken
+	workerWindow = 20.0  // the same for one worker
 	searchMargin = 1.5   // by which a short search asks about more workers than are expected to suffice
+	unlikely     = 0.5   // part of the queue's share of permitted workers below which a worker is asked about late
 )
 
-// record adds the advisor's word on a worker.
-func (p permitShare) record(permitted bool) permitShare {
-	if p.asked >= shareWindow {
-		p.asked, p.permitted = p.asked/2, p.permitted/2
+// add adds an answer. Older ones count less after a window of answers.
+func (p *permitCount) add(permitted bool, window float64) {
+	if p.answers >= window {
+		p.answers, p.permitted = p.answers/2, p.permitted/2
 	}
-	return permitShare{p.asked + 1, p.permitted + float64(boolInt(permitted))}
+	p.answers++
+	p.permitted += float64(boolInt(permitted))
 }
 
-// shortSearch returns the number of workers to ask about so that probably as many as needed are permitted.
-func (p permitShare) shortSearch(needed int) int {
-	return int(math.Ceil(searchMargin * float64(needed) * (p.asked + 2) / (p.permitted + 1)))
+// queuePermits is what the placement advisor has said so far for the steps of a queue.
+type queuePermits struct {
+	permitCount
+	workers map[string]workerPermits
+}
+
+// workerPermits is the part that concerns one incarnation of a worker.
+type workerPermits struct {
+	permitCount
+	startedAt time.Time
+}
+
+// add adds the advisor's word on a worker's incarnation.
+func (p *queuePermits) add(worker string, startedAt time.Time, permitted bool) {
+	p.permitCount.add(permitted, queueWindow)
+	known := p.workers[worker]
+	if !known.startedAt.Equal(startedAt) {
+		known = workerPermits{startedAt: startedAt}
+	}
+	known.add(permitted, workerWindow)
+	p.workers[worker] = known
+}
+
+// share returns the expected share of permitted workers.
+func (p *queuePermits) share() float64 { return (p.permitted + 1) / (p.answers + 2) }
+
+// likelihood returns the expected probability that a worker is permitted to run a step.
+func (p *queuePermits) likelihood(w *worker) float64 {
+	known := p.workers[w.ID]
+	if !known.startedAt.Equal(w.StartedAt) {
+		known = workerPermits{}
+	}
+	return (known.permitted + p.share()) / (known.answers + 1)
+}
+
+// shortSearch returns the first of the workers, so that probably as many as needed of them are permitted.
+func (p *queuePermits) shortSearch(workers []*worker, needed int) []*worker {
+	expected := 0.0
+	for i, w := range workers {
+		if expected += p.likelihood(w); expected >= searchMargin*float64(needed) {
+			return workers[:i+1]
+		}
+	}
+	return workers
+}
+
+// permitsOf returns what the advisor has said for a queue.
+func (a *advisor) permitsOf(queue string) *queuePermits {
+	p := a.queues[queue]
+	if p == nil {
+		p = &queuePermits{workers: make(map[string]workerPermits)}
+		a.queues[queue] = p
+	}
+	return p
 }
 
 // adviceRequest is a request that the placement advisor has not answered yet.
@@ -219,7 +273,7 @@
 	if len(ask) == 0 || !st.step.Gang && st.roomOn(ask) < st.waitingTasks() {
 		searched := n.searched
 		if s.advisor.waiting > 1 { // the shorter each request is, the sooner the others are handled
-			searched = searched[:min(len(searched), s.advisor.shares[st.job.Queue].shortSearch(len(st.enough(searched))))]
+			searched = s.advisor.permitsOf(st.job.Queue).shortSearch(searched, len(st.enough(searched)))
 		}
 		ask = append(ask, searched...)
 	}
@@ -335,6 +389,11 @@
 	for _, list := range [][]*worker{n.renewals, n.searched, n.full} {
 		slices.SortStableFunc(list, func(a, b *worker) int { return st.compareForAdvice(tasks, runsPerWorker, a, b) })
 	}
+	permits := s.advisor.permitsOf(st.job.Queue)
+	for _, list := range [][]*worker{n.searched, n.full} {
+		late := func(w *worker) int { return boolInt(permits.likelihood(w) < unlikely*permits.share()) }
+		slices.SortStableFunc(list, func(a, b *worker) int { return cmp.Compare(late(a), late(b)) })
+	}
 	return n
 }
 
@@ -494,7 +553,7 @@
 		}
 		text, good := advised.Tickets[id]
 		if v.permission == unknown && advised.Skipped == 0 {
-			s.advisor.shares[st.job.Queue] = s.advisor.shares[st.job.Queue].record(good)
+			s.advisor.permitsOf(st.job.Queue).add(id, v.startedAt, good)
 		}
 		switch {
 		case good:
--- a/core/sched/advice_test.go
+++ b/core/sched/advice_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/shoenig/test/must"
 )
 
@@ -202,7 +203,8 @@
 		permit func(TaskID, *simWorker) bool
 	}{
 		{"all workers", 5 * time.Second, func(TaskID, *simWorker) bool { return true }},
-		{"the last workers", 12 * time.Second, onMachines("m32", "m33", "m34", "m35")},
+		{"the last workers", 6 * time.Second, onMachines("m32", "m33", "m34", "m35")},
+		{"others for each job", 7 * time.Second, func(stage TaskID, x *simWorker) bool { return xxhash.Sum64String(stage.Job+x.ID)%4 == 0 }},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -271,6 +271,9 @@
 	}
 	delete(s.workers, w.ID)
 	s.sortedCache = nil
+	for _, p := range s.advisor.queues {
+		delete(p.workers, w.ID)
+	}
 }
 
 // supersededBy reports whether a start time in the platform's list is that of a later incarnation. The list may be older than the worker's
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -174,7 +174,7 @@
 	predecessorRunsEnd := predecessorEnd.Add(maxLeaseTime(settings.runLease()))
 	return &State{
 		token: token, settings: settings,
-		jobs: make(map[string]*job), queues: make(map[string]*queue), advisor: advisor{requests: make(map[TaskID]adviceRequest), shares: make(map[string]permitShare)}, queuePools: queuePools{pools: make(map[string]map[string]recordedPool), restored: make(map[string]bool)}, workers: make(map[string]*worker), departed: make(map[string]departure),
+		jobs: make(map[string]*job), queues: make(map[string]*queue), advisor: advisor{requests: make(map[TaskID]adviceRequest), queues: make(map[string]*queuePermits)}, queuePools: queuePools{pools: make(map[string]map[string]recordedPool), restored: make(map[string]bool)}, workers: make(map[string]*worker), departed: make(map[string]departure),
 		waves: make(map[int64]*wave), storedWaves: make(map[int64]WaveStatus), machines: make(map[string]Machine), dirty: make(map[string]*job),
 		demands: make(map[string]*poolDemand), moves: make(map[string]*move), executedOrders: make(map[string]executedOrder), runStats: make(map[string]*queueStats), refusedMoves: make(map[moveTarget]bool), scheduled: make(map[string]*job), longRunningJobs: make(map[string]*job), suspectJobs: make(map[string]*job), silent: make(map[string]*silentWorker), began: now, announced: make(map[string]*announcement), promisedRoom: make(map[string]Size),
 		predecessorEnd: predecessorEnd, predecessorRunsEnd: predecessorRunsEnd, unseenRunsEnd: predecessorRunsEnd,
