End a short search where no likely worker is left

Callers saw: where the policy permits one worker of 100, each of 40 jobs waited for a request about some 30 workers (9.4 s until all had started, with real processes).

Cause: a search went on until 1.5 times as many workers as needed were expected to be permitted, which unlikely ones never make up.

Change: it ends before the unlikely workers once three quarters of those needed are expected.

--- a/core/sched/advice.go
+++ b/core/sched/advice.go
@@ -53,7 +53,8 @@
 	queueWindow  = 300.0 // number of answers over which the share of permitted workers of a queue is taken
 	workerWindow = 20.0  // the same for one worker
 	searchMargin = 1.5   // by which a short search asks about more workers than are expected to suffice
-	unlikely     = 0.5   // part of the queue's share of permitted workers below which a worker is asked about late
+	searchTrust  = 0.75  // part of the workers needed that suffices if the others are unlikely
+	unlikelyPart = 0.5   // part of the queue's share of permitted workers below which a worker is unlikely
 )
 
 // add adds an answer. Older ones count less after a window of answers.
@@ -100,13 +101,17 @@
 	return (known.permitted + p.share()) / (known.answers + 1)
 }
 
-// shortSearch returns the first of the workers, so that probably as many as needed of them are permitted.
+// unlikely reports whether steps of the queue are seldom permitted on the worker, compared with others.
+func (p *queuePermits) unlikely(w *worker) bool { return p.likelihood(w) < unlikelyPart*p.share() }
+
+// shortSearch returns the first of the workers, so that probably as many as needed of them are permitted. They are ordered, the unlikely ones last.
 func (p *queuePermits) shortSearch(workers []*worker, needed int) []*worker {
 	expected := 0.0
 	for i, w := range workers {
-		if expected += p.likelihood(w); expected >= searchMargin*float64(needed) {
-			return workers[:i+1]
+		if expected >= searchMargin*float64(needed) || expected >= searchTrust*float64(needed) && p.unlikely(w) {
+			return workers[:i]
 		}
+		expected += p.likelihood(w)
 	}
 	return workers
 }
@@ -391,8 +396,9 @@
 	}
 	permits := s.advisor.permitsOf(st.job.Queue)
 	for _, list := range [][]*worker{n.searched, n.full} {
-		late := func(w *worker) int { return boolInt(permits.likelihood(w) < unlikely*permits.share()) }
-		slices.SortStableFunc(list, func(a, b *worker) int { return cmp.Compare(late(a), late(b)) })
+		slices.SortStableFunc(list, func(a, b *worker) int {
+			return cmp.Compare(boolInt(permits.unlikely(a)), boolInt(permits.unlikely(b)))
+		})
 	}
 	return n
 }
--- a/core/sched/advice_test.go
+++ b/core/sched/advice_test.go
@@ -204,6 +204,7 @@
 	}{
 		{"all workers", 5 * time.Second, func(TaskID, *simWorker) bool { return true }},
 		{"the last workers", 6 * time.Second, onMachines("m32", "m33", "m34", "m35")},
+		{"one worker", 5 * time.Second, onMachines("m35")},
 		{"others for each job", 7 * time.Second, func(stage TaskID, x *simWorker) bool { return xxhash.Sum64String(stage.Job+x.ID)%4 == 0 }},
 	}
 	for _, c := range cases {
@@ -213,7 +214,9 @@
 			a := w.addAdvisor(usualAdvice, c.permit)
 			w.run(settleTime)
 			for i := range jobs {
-				w.submit(batch(fmt.Sprint("j", i), "p", 1, 900, 1))
+				j := batch(fmt.Sprint("j", i), "p", 1, 200, 1)
+				j.Steps[0].Size.MemoryMB = 100
+				w.submit(j)
 			}
 			w.run(c.within)
 			running := 0
