Move the view of the placement advisor into a file of its own, and bound what a configuration makes it expect

Cause: read as a newcomer, advice.go mixed what the owner knows of the advisor with what a stage needs of it. A queue whose configuration states hours for an answer held up the requests of all queues for as long, if its request got no answer. A task that avoids the only worker with a valid ticket might have waited until the ticket expired. A stage sought for a wave stayed in the list while nothing was placed.

--- a/core/sched/advice.go
+++ b/core/sched/advice.go
@@ -17,123 +17,13 @@
 }
 
 const (
-	adviceRequestSize    = 30                     // workers in one request; each adds to the time of the answer
-	maxAdviceRequestSize = 100                    // workers in one request that the advisor accepts
-	maxAdviceRequests    = 2                      // unanswered at a time: one that is handled, and one that waits for its turn
-	adviceOverlap        = 50 * time.Millisecond  // a request may be sent this long before the advisor is expected to be idle
-	adviceSlack          = time.Second            // by which an answer may be later than expected
-	adviceRetryDelay     = 500 * time.Millisecond // delay after a request that failed or a ticket that was rejected, doubled for each further one
-	maxAdviceRetryDelay  = 8 * time.Second
-	maxRequestRetryDelay = 2 * time.Second
-	maxPatienceDoublings = 5
-	fullWorkersDelay     = 500 * time.Millisecond // shortest time between two requests about workers without room
-	spreadLead           = time.Second            // a task is advised this long before it may exceed the spread limit
-	refusalLogInterval   = 10 * time.Second
-	wantTime             = time.Second // for which a stage wants another worker in its pool; it is renewed while the need lasts
-	maxGrowthTime        = time.Minute // for which a pool grows for a stage that the policy permits on too few workers, and then rests
+	fullWorkersDelay   = 500 * time.Millisecond // shortest time between two requests about workers without room
+	spreadLead         = time.Second            // a task is advised this long before it may exceed the spread limit
+	refusalLogInterval = 10 * time.Second
+	wantTime           = time.Second // for which a stage wants another worker in its pool; it is renewed while the need lasts
+	maxGrowthTime      = time.Minute // for which a pool grows for a stage that the policy permits on too few workers, and then rests
 )
 
-// advisor is the owner's view of the placement advisor, which handles the requests of an entry in turn.
-type advisor struct {
-	requests  map[TaskID]adviceRequest // unanswered, by stage
-	idleAt    time.Time                // when it is expected to have handled them
-	delay     time.Duration            // by which its last answer was later than expected
-	failures  int                      // consecutive requests without an answer
-	stale     int                      // consecutive answers that came after their tickets had expired
-	retryAt   time.Time                // no request is sent before then
-	fullAsked time.Time                // when it was last asked about workers without room
-	waiting   int                      // stages that waited for tickets in the last placement
-	queues    map[string]*queuePermits
-}
-
-// permitCount counts answers about workers, and those that permitted them.
-type permitCount struct{ answers, permitted float64 }
-
-const (
-	queueWindow  = 300.0 // number of answers over which the share of permitted workers of a queue is taken
-	workerWindow = 20.0  // the same for one worker
-	searchMargin = 1.5   // by which a short search asks about more workers than are expected to suffice
-	searchTrust  = 0.75  // part of the workers needed that suffices if the others are unlikely
-	unlikelyPart = 0.5   // part of the queue's share of permitted workers below which a worker is unlikely
-)
-
-// add adds an answer. Older ones count less after a window of answers.
-func (p *permitCount) add(permitted bool, window float64) {
-	if p.answers >= window {
-		p.answers, p.permitted = p.answers/2, p.permitted/2
-	}
-	p.answers++
-	p.permitted += float64(boolInt(permitted))
-}
-
-// queuePermits is what the placement advisor has said so far for the steps of a queue.
-type queuePermits struct {
-	permitCount
-	workers map[string]workerPermits
-}
-
-// workerPermits is the part that concerns one incarnation of a worker.
-type workerPermits struct {
-	permitCount
-	startedAt time.Time
-}
-
-// add adds the advisor's word on a worker's incarnation.
-func (p *queuePermits) add(worker string, startedAt time.Time, permitted bool) {
-	p.permitCount.add(permitted, queueWindow)
-	known := p.workers[worker]
-	if !known.startedAt.Equal(startedAt) {
-		known = workerPermits{startedAt: startedAt}
-	}
-	known.add(permitted, workerWindow)
-	p.workers[worker] = known
-}
-
-// share returns the expected share of permitted workers.
-func (p *queuePermits) share() float64 { return (p.permitted + 1) / (p.answers + 2) }
-
-// likelihood returns the expected probability that a worker is permitted to run a step.
-func (p *queuePermits) likelihood(w *worker) float64 {
-	known := p.workers[w.ID]
-	if !known.startedAt.Equal(w.StartedAt) {
-		known = workerPermits{}
-	}
-	return (known.permitted + p.share()) / (known.answers + 1)
-}
-
-// unlikely reports whether steps of the queue are seldom permitted on the worker, compared with others.
-func (p *queuePermits) unlikely(w *worker) bool { return p.likelihood(w) < unlikelyPart*p.share() }
-
-// shortSearch returns the first of the workers, so that probably as many as needed of them are permitted. They are ordered, the unlikely ones last.
-func (p *queuePermits) shortSearch(workers []*worker, needed int) []*worker {
-	expected := 0.0
-	for i, w := range workers {
-		if expected >= searchMargin*float64(needed) || expected >= searchTrust*float64(needed) && p.unlikely(w) {
-			return workers[:i]
-		}
-		expected += p.likelihood(w)
-	}
-	return workers
-}
-
-// permitsOf returns what the advisor has said for a queue.
-func (a *advisor) permitsOf(queue string) *queuePermits {
-	p := a.queues[queue]
-	if p == nil {
-		p = &queuePermits{workers: make(map[string]workerPermits)}
-		a.queues[queue] = p
-	}
-	return p
-}
-
-// adviceRequest is a request that the placement advisor has not answered yet.
-type adviceRequest struct {
-	sent       time.Time
-	due        time.Time            // when the answer is expected
-	duration   time.Duration        // that the advisor takes for it
-	startedAts map[string]time.Time // by worker, the start of the incarnation that it asks about
-}
-
 // permission is what the placement advisor has said of a worker.
 type permission int
 
@@ -167,54 +57,13 @@
 	return q.Advice == nil || now.Before(st.verdictOn(w).expires)
 }
 
-// retryDelay returns the delay before the next try, after a number of failures before the last one.
-func retryDelay(failures int, most time.Duration) time.Duration {
-	return min(most, adviceRetryDelay<<min(failures, 8))
-}
-
 // fail records that the advisor's last word on the worker was of no use, so that it is asked again after a delay.
 func (v *verdict) fail(now time.Time) {
 	v.expires = time.Time{}
-	v.retryAt = now.Add(retryDelay(v.failures, maxAdviceRetryDelay))
+	v.retryAt = now.Add(retryDelay(v.failures, maxStageRetryDelay))
 	v.failures++
 }
 
-// requestSize returns the number of workers in one request. Two requests about so many take no longer than a ticket is valid, so that
-// the tickets of both can be used together.
-func (a *Advice) requestSize() int {
-	n := adviceRequestSize
-	if a.PerWorker > 0 && a.Valid > 0 {
-		n = min(n, int(max(a.Valid/2-a.PerCall, a.PerCall)/a.PerWorker))
-	}
-	return max(1, n)
-}
-
-// duration returns the time that the advisor takes for a request about a number of workers.
-func (a *Advice) duration(workers int) time.Duration {
-	return a.PerCall + time.Duration(workers)*a.PerWorker
-}
-
-// mayAsk reports whether a request may be sent. The others wait here rather than at the advisor, so that the most urgent is always the next.
-func (a *advisor) mayAsk(now time.Time) bool {
-	return len(a.requests) < maxAdviceRequests && !now.Before(a.retryAt) && !now.Add(adviceOverlap).Before(a.idleAt)
-}
-
-// patience returns how long to wait for the answer to a request that is due then.
-func (a *advisor) patience(now, due time.Time) time.Duration {
-	return adviceSlack<<min(a.failures/2, maxPatienceDoublings) + 2*(due.Sub(now)+a.delay)
-}
-
-// close removes an answered or failed request.
-func (a *advisor) close(now time.Time, stage TaskID) (adviceRequest, bool) {
-	r, found := a.requests[stage]
-	delete(a.requests, stage)
-	a.idleAt = now
-	for _, other := range a.requests {
-		a.idleAt = a.idleAt.Add(other.duration)
-	}
-	return r, found
-}
-
 // heldRoom is room on a worker that is kept from less urgent stages during one placement.
 type heldRoom struct {
 	worker *worker
@@ -242,7 +91,7 @@
 			s.planAdvice(now, st, q, pools[q.Pool], false, o)
 		}
 	}
-	s.sought = s.sought[:0]
+	s.sought = nil
 }
 
 // adviceNeeds are the workers that a stage needs advice about, by what the advice is for.
@@ -369,7 +218,7 @@
 // adviceNeeds returns the workers that the stage needs advice about, those first that suit it best.
 func (s *State) adviceNeeds(now time.Time, st *stage, q Queue, workers []*worker) (n adviceNeeds) {
 	runsPerWorker, tasks := st.runsPerWorker(), st.distinctTasks(now)
-	ticketed := st.leastTicketedExcess(now, q, workers, runsPerWorker)
+	ticketed := st.leastTicketedExcess(now, q, tasks, workers, runsPerWorker)
 	for _, w := range workers {
 		excess := st.excessOn(w, runsPerWorker)
 		if !st.needsAdvice(now, w, runsPerWorker) || excess > 0 && excess >= ticketed {
@@ -404,11 +253,12 @@
 }
 
 // leastTicketedExcess returns the least number of tasks beyond the spread limit that one more task would cause on a worker with a valid
-// ticket and room.
-func (st *stage) leastTicketedExcess(now time.Time, q Queue, workers []*worker, runsPerWorker map[string]int) int {
+// ticket and room, which not all of the tasks avoid.
+func (st *stage) leastTicketedExcess(now time.Time, q Queue, tasks []*task, workers []*worker, runsPerWorker map[string]int) int {
 	least := math.MaxInt
 	for _, w := range workers {
-		if st.hasTicket(now, q, w) && st.mayRunOn(q, w, runsPerWorker) && st.step.reserved().Fits(w.free()) && w.servesJob(st.job.ID) {
+		suits := slices.ContainsFunc(tasks, func(t *task) bool { return !t.avoids(w) })
+		if suits && st.hasTicket(now, q, w) && st.mayRunOn(q, w, runsPerWorker) && st.step.reserved().Fits(w.free()) && w.servesJob(st.job.ID) {
 			least = min(least, st.excessOn(w, runsPerWorker))
 		}
 	}
@@ -578,10 +428,10 @@
 	if _, found := s.advisor.close(now, a.Stage); !found {
 		return
 	}
-	s.advisor.retryAt = now.Add(retryDelay(s.advisor.failures, maxRequestRetryDelay))
+	s.advisor.retryAt = now.Add(retryDelay(s.advisor.failures, maxAdvisorRetryDelay))
 	s.advisor.failures++
 	if t := s.find(a.Stage); t != nil { // the requests about other stages may succeed
-		t.stage.adviceRetryAt = now.Add(retryDelay(t.stage.adviceFailures, maxAdviceRetryDelay))
+		t.stage.adviceRetryAt = now.Add(retryDelay(t.stage.adviceFailures, maxStageRetryDelay))
 		t.stage.adviceFailures++
 	}
 	s.placementChanged = true
--- a/core/sched/advice_test.go
+++ b/core/sched/advice_test.go
@@ -564,3 +564,23 @@
 	}
 	must.Zero(t, starts)
 }
+
+// TestSlowQueueHoldsNoOthersUp guards against a configuration by which the advisor takes hours for a queue: its requests, which get no answer, held up those of others.
+func TestSlowQueueHoldsNoOthersUp(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 4})
+	a := w.addAdvisor(usualAdvice, func(TaskID, *simWorker) bool { return true })
+	a.timing.PerCall = time.Hour
+	q := w.config.Queues["q-p"]
+	q.Priority, q.Name, q.Advice = -1, "q-slow", &Advice{PerCall: 1 << 60, PerWorker: 1 << 60, Valid: time.Second}
+	w.config.Queues["q-slow"] = q
+	w.config.Version++
+	w.owner.state.SetConfig(w.config)
+	w.run(settleTime)
+	slow := batch("slow", "p", 1, 900, 1)
+	slow.Queue = "q-slow"
+	w.submit(slow)
+	w.run(time.Second)
+	a.timing, a.idleAt[w.owner] = usualAdvice, w.now
+	w.submit(batch("j", "p", 1, 900, 1))
+	w.awaitRuns("j", 1, 3*maxAdviceDuration)
+}
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -179,6 +179,7 @@
 
 // planWaves advances all waves that are not completed.
 func (s *State) planWaves(now time.Time, o *Orders) {
+	s.sought = nil
 	for _, number := range sortedKeys(s.waves) {
 		w := s.waves[number]
 		if w.completionStored {
