Let the test of slow queues state hours that the owner can add up

Cause: TestSlowQueueHoldsNoOthersUp named times whose sum overflows, so its requests failed at once and it passed without the bound of too. Change: the queue states three hours. Result: it fails without the bound and passes with it.

--- a/core/sched/advice_test.go
+++ b/core/sched/advice_test.go
@@ -571,7 +571,7 @@
 	a := w.addAdvisor(usualAdvice, func(TaskID, *simWorker) bool { return true })
 	a.timing.PerCall = time.Hour
 	q := w.config.Queues["q-p"]
-	q.Priority, q.Name, q.Advice = -1, "q-slow", &Advice{PerCall: 1 << 60, PerWorker: 1 << 60, Valid: time.Second}
+	q.Priority, q.Name, q.Advice = -1, "q-slow", &Advice{PerCall: 3 * time.Hour, Valid: time.Second}
 	w.config.Queues["q-slow"] = q
 	w.config.Version++
 	w.owner.state.SetConfig(w.config)
