--- a/core/sched/advice.go
+++ b/core/sched/advice.go
@@ -138,7 +138,7 @@
 		s.askAdvisor(now, id, q.Advice, ask[:min(len(ask), size)], o)
 		return held
 	}
-	if st.placesOn(workers) < st.leastPlaces() {
+	if len(workers) > 0 && st.placesOn(workers) < st.leastPlaces() {
 		s.wantWorker(now, st, q)
 		s.logRefused(now, st, len(workers))
 	}
