--- a/core/sched/advice.go
+++ b/core/sched/advice.go
@@ -64,7 +64,7 @@
 	v.failures++
 }
 
-// heldRoom is room on a worker that is kept from less urgent stages during one placement.
+// heldRoom is room on a worker that is kept from less urgent stages during one placement. One stage at a time holds room.
 type heldRoom struct {
 	worker *worker
 	size   Size
@@ -102,8 +102,8 @@
 }
 
 // planAdvice asks the placement advisor about workers for a stage's waiting tasks, unless the advisor is busy. It first asks for new tickets
-// for workers that the policy is known to permit, then about those that the advisor has said nothing of. It returns room to hold for the
-// stage until it has a ticket, for which it needs no more than one stage at a time.
+// for workers that the policy is known to permit, then about those that the advisor has said nothing of. If mayHold is set, it returns room on the
+// former that it holds, so that less urgent stages do not take it before the tickets come.
 func (s *State) planAdvice(now time.Time, st *stage, q Queue, workers []*worker, mayHold bool, o *Orders) []heldRoom {
 	id := st.id()
 	_, asked := s.advisor.requests[id]
