Name and group what a newcomer would have to guess in the placement advice

Three tests had comments of two lines, and tests repeated the setting of queues.

Behaviour, bounds and assertions stay.

--- a/core/sched/advice.go
+++ b/core/sched/advice.go
@@ -17,7 +17,7 @@
 }
 
 const (
-	fullWorkersDelay   = 500 * time.Millisecond // shortest time between two requests about workers without room
+	withoutRoomDelay   = 500 * time.Millisecond // shortest time between two requests about workers without room
 	spreadLead         = time.Second            // a task is advised this long before it may exceed the spread limit
 	refusalLogInterval = 10 * time.Second
 	wantTime           = time.Second // for which a stage wants another worker in its pool; it is renewed while the need lasts
@@ -40,8 +40,17 @@
 	startedAt  time.Time // of the incarnation
 	ticket     string
 	expires    time.Time // when the ticket expires; zero once a worker has rejected it
-	failures   int       // consecutive rejected tickets and unclear answers
-	retryAt    time.Time // the advisor is not asked about the worker before then
+	backoff              // after rejected tickets and unclear answers
+}
+
+// stageAdvice is what a stage knows and wants of the placement advisor.
+type stageAdvice struct {
+	verdicts      map[string]verdict // by worker
+	requests      backoff            // after requests about the stage that failed
+	wantedWorkers int                // that its pool should have until wantedUntil, because the advisor permits too few of those there
+	wantedUntil   time.Time
+	growsSince    time.Time // since when it has wanted more workers
+	refusalLogged time.Time // when it was last logged that the advisor permits too few
 }
 
 // verdictOn returns what the placement advisor has said of the worker's present incarnation.
@@ -57,11 +66,10 @@
 	return q.Advice == nil || now.Before(st.verdictOn(w).expires)
 }
 
-// fail records that the advisor's last word on the worker was of no use, so that it is asked again after a delay.
-func (v *verdict) fail(now time.Time) {
+// discard drops a ticket that is of no use, so that the advisor is asked about the worker again after a delay.
+func (v *verdict) discard(now time.Time) {
 	v.expires = time.Time{}
-	v.retryAt = now.Add(retryDelay(v.failures, maxStageRetryDelay))
-	v.failures++
+	v.fail(now, maxStageRetryDelay)
 }
 
 // heldRoom is room on a worker that is kept from less urgent stages during one placement. One stage at a time holds room.
@@ -74,7 +82,7 @@
 // this score: fewer tasks beyond the spread limit, or the task avoids the other worker and not this one.
 func (s *State) mayBeAdvisedBetter(now time.Time, t *task, q Queue, best score, workers []*worker, runsPerWorker map[string]int) bool {
 	st := t.stage
-	if q.Advice == nil || best.excess == 0 && !best.avoided || s.advisor.failures > 0 || st.adviceFailures > 0 {
+	if q.Advice == nil || best.excess == 0 && !best.avoided || s.advisor.failures > 0 || st.requests.failures > 0 {
 		return false
 	}
 	return slices.ContainsFunc(workers, func(w *worker) bool {
@@ -84,30 +92,30 @@
 	})
 }
 
-// planSoughtAdvice asks the placement advisor about workers to which maintenance could move tasks that run.
-func (s *State) planSoughtAdvice(now time.Time, pools map[string][]*worker, o *Orders) {
-	for _, st := range s.sought {
+// planMaintenanceAdvice asks the placement advisor about workers to which maintenance could move tasks that run.
+func (s *State) planMaintenanceAdvice(now time.Time, pools map[string][]*worker, o *Orders) {
+	for _, st := range s.seekRoom {
 		if q := s.config.Queues[st.job.Queue]; q.Advice != nil && !st.job.state.Final() && st.waitingTasks() == 0 {
 			s.planAdvice(now, st, q, pools[q.Pool], false, o)
 		}
 	}
-	s.sought = nil
+	s.seekRoom = nil
 }
 
 // adviceNeeds are the workers that a stage needs advice about, by what the advice is for.
 type adviceNeeds struct {
-	renewals []*worker // permitted, and a task could start there with a new ticket
-	searched []*worker // unknown, and a task could start there
-	full     []*worker // unknown, without room now
+	renewals    []*worker // permitted, and a task could start there with a new ticket
+	searched    []*worker // unknown, and a task could start there
+	withoutRoom []*worker // unknown, and no task could start there now
 }
 
 // planAdvice asks the placement advisor about workers for a stage's waiting tasks, unless the advisor is busy. It first asks for new tickets
 // for workers that the policy is known to permit, then about those that the advisor has said nothing of. If mayHold is set, it returns room on the
 // former that it holds, so that less urgent stages do not take it before the tickets come.
 func (s *State) planAdvice(now time.Time, st *stage, q Queue, workers []*worker, mayHold bool, o *Orders) []heldRoom {
-	id := st.id()
+	id := st.firstTask()
 	_, asked := s.advisor.requests[id]
-	mayAsk := !asked && !now.Before(st.adviceRetryAt) && s.advisor.mayAsk(now)
+	mayAsk := !asked && !st.requests.waits(now) && s.advisor.mayAsk(now)
 	if !mayAsk && !mayHold {
 		return nil
 	}
@@ -119,6 +127,19 @@
 	if !mayAsk {
 		return held
 	}
+	if ask := s.workersToAsk(now, st, q, n); len(ask) > 0 {
+		s.askAdvisor(now, id, q.Advice, ask, o)
+		return held
+	}
+	if len(workers) > 0 && st.placesOn(workers) < st.leastPlaces() {
+		s.wantWorker(now, st, q)
+		s.logRefused(now, st, len(workers))
+	}
+	return held
+}
+
+// workersToAsk returns the workers that the next request about the stage names, or none.
+func (s *State) workersToAsk(now time.Time, st *stage, q Queue, n adviceNeeds) []*worker {
 	size := q.Advice.requestSize()
 	ask := st.enough(n.renewals)
 	if st.step.Gang {
@@ -126,26 +147,18 @@
 	}
 	if len(ask) == 0 || !st.step.Gang && st.roomOn(ask) < st.waitingTasks() {
 		searched := n.searched
-		if s.advisor.waiting > 1 { // the shorter each request is, the sooner the others are handled
+		if s.advisor.waitingStages > 1 { // the shorter each request is, the sooner the others are handled
 			searched = s.advisor.permitsOf(st.job.Queue).shortSearch(searched, len(st.enough(searched)))
 		}
 		ask = append(ask, searched...)
 	}
-	if len(ask) == 0 && now.Sub(s.advisor.fullAsked) >= fullWorkersDelay && len(n.full) > 0 {
-		ask, s.advisor.fullAsked = n.full, now
+	if len(ask) == 0 && now.Sub(s.advisor.withoutRoomAskedAt) >= withoutRoomDelay && len(n.withoutRoom) > 0 {
+		ask, s.advisor.withoutRoomAskedAt = n.withoutRoom, now
 	}
-	if len(ask) > 0 {
-		s.askAdvisor(now, id, q.Advice, ask[:min(len(ask), size)], o)
-		return held
-	}
-	if len(workers) > 0 && st.placesOn(workers) < st.leastPlaces() {
-		s.wantWorker(now, st, q)
-		s.logRefused(now, st, len(workers))
-	}
-	return held
+	return ask[:min(len(ask), size)]
 }
 
-// wantWorker makes the stage's pool grow by a worker that the placement advisor may permit, unless it has not for maxGrowthTime.
+// wantWorker makes the stage's pool grow by a worker that the placement advisor may permit. It grows for maxGrowthTime, then rests for as long.
 func (s *State) wantWorker(now time.Time, st *stage, q Queue) {
 	if st.growsSince.IsZero() || now.Sub(st.wantedUntil) > maxGrowthTime {
 		st.growsSince = now
@@ -167,7 +180,7 @@
 		return
 	}
 	st.refusalLogged = now
-	s.logDecision("NotPermitted", st.id(), "", "AdvisorPermitsTooFewOf "+strconv.Itoa(workers), 0)
+	s.logDecision("NotPermitted", st.firstTask(), "", "AdvisorPermitsTooFewOf "+strconv.Itoa(workers), 0)
 }
 
 // leastPlaces returns how many tasks of the stage must have a place at once.
@@ -178,35 +191,24 @@
 	return 1
 }
 
-// placesOn returns how many tasks of the stage the workers could run at once, with those that run, beside long-running tasks alone.
+// placesOn returns how many tasks of the stage the workers could run at once, those that run among them, once other batch tasks are done.
 // Workers that the advisor has said nothing of count too.
 func (st *stage) placesOn(workers []*worker) int {
 	n, runsPerWorker := 0, st.runsPerWorker()
 	for _, w := range workers {
 		n += runsPerWorker[w.ID]
 		if st.step.accepts(w) && st.verdictOn(w).permission != refused {
-			n += st.fitting(w.roomBesideServices(), st.step.workerLimit()-runsPerWorker[w.ID])
+			n += st.fitting(w, w.roomBesides(nil), runsPerWorker)
 		}
 	}
 	return n
 }
 
-// roomBesideServices returns the capacity that the worker has once its batch tasks are done.
-func (w *worker) roomBesideServices() Size {
-	room := w.Capacity
-	for _, r := range w.runs {
-		if r.task != nil && r.task.stage.step.LongRunning {
-			room = room.Sub(r.size)
-		}
-	}
-	return room
-}
-
 // askAdvisor orders a request about the workers.
 func (s *State) askAdvisor(now time.Time, stage TaskID, timing *Advice, workers []*worker, o *Orders) {
 	r := adviceRequest{sent: now, duration: timing.duration(len(workers)), startedAts: make(map[string]time.Time, len(workers))}
 	r.due = latest(now, s.advisor.idleAt).Add(r.duration)
-	ask := AdviceRequest{Stage: stage, Timeout: s.advisor.patience(now, r.due)}
+	ask := AdviceRequest{Stage: stage, Timeout: s.advisor.timeout(now, r.due)}
 	for _, w := range workers {
 		ask.Workers = append(ask.Workers, w.ID)
 		r.startedAts[w.ID] = w.StartedAt
@@ -224,27 +226,27 @@
 		if !st.needsAdvice(now, w, runsPerWorker) || excess > 0 && excess >= ticketed {
 			continue
 		}
-		known := st.verdictOn(w).permission == permitted
+		renewal := st.verdictOn(w).permission == permitted
 		startable := slices.ContainsFunc(tasks, func(t *task) bool { return t.couldStartOn(now, w, excess) })
-		sought := len(tasks) == 0 && st.step.reserved().Fits(w.free()) && w.servesJob(st.job.ID)
+		roomToMove := len(tasks) == 0 && st.step.reserved().Fits(w.free()) && w.servesJob(st.job.ID)
 		switch {
-		case startable && known:
+		case startable && renewal:
 			n.renewals = append(n.renewals, w)
-		case known:
-		case startable || sought:
+		case renewal:
+		case startable || roomToMove:
 			n.searched = append(n.searched, w)
 		case st.step.reserved().Fits(w.Capacity):
-			n.full = append(n.full, w)
+			n.withoutRoom = append(n.withoutRoom, w)
 		}
 	}
 	if st.step.Gang && !s.gangCouldStart(now, st, q, workers, n.renewals) {
 		n.renewals = nil
 	}
-	for _, list := range [][]*worker{n.renewals, n.searched, n.full} {
+	for _, list := range [][]*worker{n.renewals, n.searched, n.withoutRoom} {
 		slices.SortStableFunc(list, func(a, b *worker) int { return st.compareForAdvice(tasks, runsPerWorker, a, b) })
 	}
 	permits := s.advisor.permitsOf(st.job.Queue)
-	for _, list := range [][]*worker{n.searched, n.full} {
+	for _, list := range [][]*worker{n.searched, n.withoutRoom} {
 		slices.SortStableFunc(list, func(a, b *worker) int {
 			return cmp.Compare(boolInt(permits.unlikely(a)), boolInt(permits.unlikely(b)))
 		})
@@ -268,7 +270,7 @@
 // needsAdvice reports whether a task of the stage may start on the worker only after the placement advisor has been asked about it.
 func (st *stage) needsAdvice(now time.Time, w *worker, runsPerWorker map[string]int) bool {
 	v := st.verdictOn(w)
-	return v.permission != refused && !now.Before(v.expires) && !now.Before(v.retryAt) && st.step.accepts(w) && runsPerWorker[w.ID] < st.step.workerLimit()
+	return v.permission != refused && !now.Before(v.expires) && !v.waits(now) && st.step.accepts(w) && runsPerWorker[w.ID] < st.step.workerLimit()
 }
 
 // couldStartOn reports whether a ticket for the worker is all that the waiting task lacks to start there, with the number of tasks beyond the
@@ -325,7 +327,7 @@
 	n := 0
 	runsPerWorker := st.runsPerWorker()
 	for _, w := range workers {
-		n += st.fitting(w.free(), st.step.workerLimit()-runsPerWorker[w.ID])
+		n += st.fitting(w, w.free(), runsPerWorker)
 	}
 	return n
 }
@@ -334,17 +336,17 @@
 func (st *stage) enough(workers []*worker) []*worker {
 	runsPerWorker, left := st.runsPerWorker(), st.waitingTasks()
 	for i, w := range workers {
-		if left -= st.fitting(w.free(), st.step.workerLimit()-runsPerWorker[w.ID]); left <= 0 {
+		if left -= st.fitting(w, w.free(), runsPerWorker); left <= 0 {
 			return workers[: i+1 : i+1]
 		}
 	}
 	return workers
 }
 
-// fitting returns how many tasks of the stage fit into the room of a worker that may take so many of them.
-func (st *stage) fitting(room Size, limit int) int {
+// fitting returns how many more tasks of the stage fit into this room on the worker, with the number of its runs on each worker.
+func (st *stage) fitting(w *worker, room Size, runsPerWorker map[string]int) int {
 	size, n := st.step.reserved(), 0
-	for most := min(st.step.Count, limit); n < most && size.Fits(room); n++ {
+	for most := min(st.step.Count, st.step.workerLimit()-runsPerWorker[w.ID]); n < most && size.Fits(room); n++ {
 		room = room.Sub(size)
 	}
 	return n
@@ -366,7 +368,7 @@
 	var held []heldRoom
 	size, runsPerWorker, left := st.step.reserved(), st.runsPerWorker(), st.waitingTasks()
 	for _, w := range workers {
-		n := min(left, st.fitting(w.free(), st.step.workerLimit()-runsPerWorker[w.ID]))
+		n := min(left, st.fitting(w, w.free(), runsPerWorker))
 		left -= n
 		for range n {
 			w.used = w.used.Add(size)
@@ -378,11 +380,11 @@
 
 // AdviceAnswered records the placement advisor's answer to a request.
 func (s *State) AdviceAnswered(now time.Time, a AdviceRequest, advised AdviceResult) {
-	r, found := s.advisor.close(now, a.Stage)
+	r, found := s.advisor.remove(now, a.Stage)
 	if !found {
 		return
 	}
-	s.advisor.failures, s.advisor.retryAt, s.advisor.delay = 0, time.Time{}, max(0, now.Sub(r.due))
+	s.advisor.backoff, s.advisor.lateness = backoff{}, max(0, now.Sub(r.due))
 	s.placementChanged = true
 	t := s.find(a.Stage)
 	if t == nil || t.stage.remaining == 0 || t.stage.job.state.Final() {
@@ -392,15 +394,15 @@
 	if st.verdicts == nil {
 		st.verdicts = make(map[string]verdict, len(a.Workers))
 	}
-	st.adviceFailures = 0
+	st.requests.failures = 0
 	issued := r.sent // at the earliest
 	switch {
 	case now.Sub(r.sent) < advised.ValidFor:
-		s.advisor.stale = 0
-	case r.duration >= advised.ValidFor || s.advisor.stale > 0:
+		s.advisor.staleAnswers = 0
+	case r.duration >= advised.ValidFor || s.advisor.staleAnswers > 0:
 		issued = now.Add(-advised.ValidFor / 2) // answers always take as long, so the ticket must have been issued with this one
 	default:
-		s.advisor.stale++
+		s.advisor.staleAnswers++
 	}
 	for _, id := range a.Workers {
 		v := st.verdicts[id]
@@ -415,7 +417,7 @@
 		case good:
 			v.permission, v.ticket, v.expires = permitted, text, issued.Add(advised.ValidFor)
 		case advised.Skipped > 0 || v.permission == permitted:
-			v.fail(now) // its row may be one that could not be read
+			v.discard(now) // its row may be one that could not be read
 		default:
 			v.permission = refused
 		}
@@ -425,14 +427,12 @@
 
 // AdviceFailed records that a request to the placement advisor got no answer, or none that could be used.
 func (s *State) AdviceFailed(now time.Time, a AdviceRequest) {
-	if _, found := s.advisor.close(now, a.Stage); !found {
+	if _, found := s.advisor.remove(now, a.Stage); !found {
 		return
 	}
-	s.advisor.retryAt = now.Add(retryDelay(s.advisor.failures, maxAdvisorRetryDelay))
-	s.advisor.failures++
+	s.advisor.fail(now, maxAdvisorRetryDelay)
 	if t := s.find(a.Stage); t != nil { // the requests about other stages may succeed
-		t.stage.adviceRetryAt = now.Add(retryDelay(t.stage.adviceFailures, maxStageRetryDelay))
-		t.stage.adviceFailures++
+		t.stage.requests.fail(now, maxStageRetryDelay)
 	}
 	s.placementChanged = true
 }
@@ -440,7 +440,7 @@
 // ticketRejected records that a worker has rejected a start for its ticket.
 func (st *stage) ticketRejected(now time.Time, w *worker, ticket string) {
 	if v := st.verdictOn(w); v.permission == permitted && v.ticket == ticket && !v.expires.IsZero() {
-		v.fail(now)
+		v.discard(now)
 		st.verdicts[w.ID] = v
 	}
 }
--- a/core/sched/advice_test.go
+++ b/core/sched/advice_test.go
@@ -46,10 +46,30 @@
 	w.advisor = &simAdvisor{queue: queue, permits: permits, timing: timing, idleAt: make(map[*simOwner]time.Time), waiting: make(map[*simOwner]int), tickets: make(map[string]simTicket)}
 	q := w.config.Queues[queue]
 	q.Advice = &timing
-	w.config.Queues[queue] = q
+	w.setQueue(q)
+	return w.advisor
+}
+
+// setQueue applies a configuration with the queue.
+func (w *simulation) setQueue(q Queue) {
+	w.config.Queues[q.Name] = q
+	w.config.Version++
+	w.owner.state.SetConfig(w.config)
+}
+
+// addSpares gives the simulation its spare pool back.
+func (w *simulation) addSpares() {
+	w.config.Pools["spare"] = Pool{Name: "spare", Spare: true}
 	w.config.Version++
 	w.owner.state.SetConfig(w.config)
-	return w.advisor
+}
+
+// addUrgentQueues makes the advised queue urgent for an hour, and adds a less urgent one without advice to its pool.
+func (w *simulation) addUrgentQueues(target time.Duration) {
+	urgent := w.config.Queues["q-p"]
+	urgent.Target = time.Hour
+	w.setQueue(urgent)
+	w.setQueue(Queue{Name: "q-other", Pool: "p", Priority: 1, Attempts: 3, Stretch: 1.6, Target: target})
 }
 
 // advise handles a request. The time limit of the request includes its wait for earlier ones, and it is handled also if that is over.
@@ -150,7 +170,7 @@
 		{"too few of the first for the step", 36, usualAdvice, onMachines("m00", "m01", "m34", "m35"), alone("j", 4), 2, time.Second},
 		{"too few of the first for the gang", 36, usualAdvice, onMachines("m00", "m10", "m31", "m35"), gang, 2, time.Second},
 		{"a gang of more workers than a request names", 60, usualAdvice, func(TaskID, *simWorker) bool { return true }, wideGang, 3, time.Second},
-		{"a gang on workers that are found after the first tickets expire", 60, Advice{PerCall: 100 * time.Millisecond, PerWorker: 80 * time.Millisecond, Valid: 3 * time.Second}, onMachines("m00", "m20", "m40", "m59"), gang, 9, 8 * time.Second},
+		{"a gang on workers that are found after the first tickets expire", 60, slow, onMachines("m00", "m20", "m40", "m59"), gang, 9, 8 * time.Second},
 		{"only those with the label", 40, usualAdvice, onMachines("m39"), labelled, 1, time.Second},
 		{"an answer that takes over a second", 12, slow, onMachines("m11"), batch("j", "p", 1, 1000, 1), 1, 2 * time.Second},
 		{"each worker takes long", 12, Advice{PerCall: 100 * time.Millisecond, PerWorker: 2 * time.Second, Valid: 3 * time.Second}, onMachines("m11"), batch("j", "p", 1, 1000, 1), 12, 30 * time.Second},
@@ -179,8 +199,8 @@
 	w.runTime = func(TaskID) time.Duration { return time.Minute }
 	a := w.addAdvisor(usualAdvice, onMachines("m00"))
 	w.run(settleTime)
-	w.submit(batch("none", "p", 1, 1000, 1))
-	w.awaitRuns("none", 1, time.Second)
+	w.submit(batch("first", "p", 1, 1000, 1))
+	w.awaitRuns("first", 1, time.Second)
 	must.Eq(t, 1, a.requests)
 	a.permits = func(TaskID, *simWorker) bool { return false }
 	w.submit(batch("j", "p", 1, 1000, 1))
@@ -193,8 +213,7 @@
 	must.Eq(t, 4, a.requests)
 }
 
-// TestAdviceForManySteps guards against LOST: the requests of steps that are submitted at once waited at the advisor until their time limits,
-// which include that wait, had passed.
+// TestAdviceForManySteps guards against LOST: of steps submitted at once most were never advised, since the time limit of a request counts its wait.
 func TestAdviceForManySteps(t *testing.T) {
 	const jobs = 60
 	cases := []struct {
@@ -299,8 +318,7 @@
 			timing.Valid = 30 * time.Second
 			a := w.addAdvisor(timing, onMachines("m02"))
 			w.run(settleTime)
-			long := alone("j", 3)
-			w.submit(long)
+			w.submit(alone("j", 3))
 			w.awaitRuns("j", 1, time.Second)
 			c.spoil(w, w.byID["m02-3"])
 			w.run(lostAfter)
@@ -310,8 +328,7 @@
 	}
 }
 
-// TestSpreadStepWithAdviceReturns guards against LOST: a long-running task whose worker is lost waited for ever, since the tickets for the others,
-// each with a task of its step, had expired.
+// TestSpreadStepWithAdviceReturns guards against LOST: a long-running task waited for ever, since the tickets for workers with tasks of its step had expired.
 func TestSpreadStepWithAdviceReturns(t *testing.T) {
 	w := newSimulation(t, 1, map[string]int{"p": 4})
 	w.addAdvisor(usualAdvice, func(TaskID, *simWorker) bool { return true })
@@ -363,12 +380,7 @@
 		return 4500 * time.Millisecond
 	}
 	w.addAdvisor(usualAdvice, onMachines("m01"))
-	urgent := w.config.Queues["q-p"]
-	urgent.Target = time.Hour
-	w.config.Queues["q-p"] = urgent
-	w.config.Queues["q-other"] = Queue{Name: "q-other", Pool: "p", Priority: 1, Attempts: 3, Stretch: 1.6, Target: 600 * time.Millisecond}
-	w.config.Version++
-	w.owner.state.SetConfig(w.config)
+	w.addUrgentQueues(600 * time.Millisecond)
 	w.run(settleTime)
 	others := 0
 	w.repeat(100*time.Millisecond, func() {
@@ -395,12 +407,7 @@
 			return 7 * time.Second
 		}
 		w.addAdvisor(usualAdvice, onMachines("m02", "m03"))
-		urgent := w.config.Queues["q-p"]
-		urgent.Target = time.Hour
-		w.config.Queues["q-p"] = urgent
-		w.config.Queues["q-other"] = Queue{Name: "q-other", Pool: "p", Priority: 1, Attempts: 3, Stretch: 1.6, Target: time.Hour}
-		w.config.Version++
-		w.owner.state.SetConfig(w.config)
+		w.addUrgentQueues(time.Hour)
 		w.run(settleTime)
 		w.submit(j)
 		w.crashUnder(TaskID{Job: "j"}, isolationCrashes)
@@ -424,8 +431,7 @@
 	must.Eq(t, Completed, w.stored["j"].State, must.Sprint(strings.Join(w.trace, "\n")))
 }
 
-// TestWaveEmptiesCrowdedWorkersWithAdvice guards against a wave that never ends: no task could be moved off a crowded worker, since the tickets
-// for the others had expired, or a new owner had never asked for any.
+// TestWaveEmptiesCrowdedWorkersWithAdvice guards against a wave that never ends: a crowded worker was not emptied without valid tickets for others.
 func TestWaveEmptiesCrowdedWorkersWithAdvice(t *testing.T) {
 	for _, newOwner := range []bool{false, true} {
 		w := newSimulation(t, 1, map[string]int{"p": 2})
@@ -477,9 +483,7 @@
 		w := newSimulation(t, 1, map[string]int{"p": 3, "spare": 5})
 		w.runTime = func(TaskID) time.Duration { return time.Minute }
 		w.addAdvisor(usualAdvice, onMachines("m02", "m07"))
-		w.config.Pools["spare"] = Pool{Name: "spare", Spare: true}
-		w.config.Version++
-		w.owner.state.SetConfig(w.config)
+		w.addSpares()
 		w.run(settleTime)
 		w.submit(batch("first", "p", 1, 1000, 1))
 		w.run(4 * time.Second)
@@ -492,9 +496,7 @@
 func (w *simulation) occupy(x *simWorker, left int) {
 	x.Labels = append(x.Labels, "occupied")
 	w.listWorkers(w.owner)
-	w.config.Queues["q-services"] = Queue{Name: "q-services", Pool: x.Pool}
-	w.config.Version++
-	w.owner.state.SetConfig(w.config)
+	w.setQueue(Queue{Name: "q-services", Pool: x.Pool})
 	w.submit(Job{ID: "service", Queue: "q-services", Steps: []Step{{Count: 1, Size: Size{Processors: x.Capacity.Processors - left}, LongRunning: true, RequiredLabel: "occupied"}}})
 	w.run(100 * time.Millisecond)
 }
@@ -503,7 +505,7 @@
 func TestPoolGrowsBesideServices(t *testing.T) {
 	w := newSimulation(t, 1, map[string]int{"p": 3, "spare": 5})
 	w.addAdvisor(usualAdvice, onMachines("m02", "m07"))
-	w.config.Pools["spare"] = Pool{Name: "spare", Spare: true}
+	w.addSpares()
 	w.run(settleTime)
 	w.occupy(w.byID["m02-3"], 1000)
 	w.submit(batch("j", "p", 1, 2000, 1))
@@ -514,7 +516,7 @@
 func TestPoolDoesNotGrowForEver(t *testing.T) {
 	w := newSimulation(t, 1, map[string]int{"p": 3, "spare": 9})
 	w.addAdvisor(usualAdvice, onMachines())
-	w.config.Pools["spare"] = Pool{Name: "spare", Spare: true}
+	w.addSpares()
 	w.run(settleTime)
 	w.submit(batch("j", "p", 1, 2000, 1))
 	w.run(maxGrowthTime)
@@ -572,9 +574,7 @@
 	a.timing.PerCall = time.Hour
 	q := w.config.Queues["q-p"]
 	q.Priority, q.Name, q.Advice = -1, "q-slow", &Advice{PerCall: 3 * time.Hour, Valid: time.Second}
-	w.config.Queues["q-slow"] = q
-	w.config.Version++
-	w.owner.state.SetConfig(w.config)
+	w.setQueue(q)
 	w.run(settleTime)
 	slow := batch("slow", "p", 1, 900, 1)
 	slow.Queue = "q-slow"
--- a/core/sched/advisor.go
+++ b/core/sched/advisor.go
@@ -12,20 +12,19 @@
 	maxStageRetryDelay   = 8 * time.Second        // longest such delay for a stage, or for a worker with it
 	maxAdvisorRetryDelay = 2 * time.Second        // longest such delay for all stages
 	maxAdviceDuration    = time.Minute            // longest time for an answer that a configuration can make the owner expect
-	maxPatienceDoublings = 5                      // of the time limit of a request, while requests fail
+	maxTimeoutDoublings  = 5                      // of the time limit of a request, while requests fail
 )
 
 // advisor is the owner's view of the placement advisor, which handles the requests of an entry in turn.
 type advisor struct {
-	requests  map[TaskID]adviceRequest // unanswered, by stage
-	idleAt    time.Time                // when it is expected to have handled them
-	delay     time.Duration            // by which its last answer was later than expected
-	failures  int                      // consecutive requests without an answer
-	stale     int                      // consecutive answers that came after their tickets had expired
-	retryAt   time.Time                // no request is sent before then
-	fullAsked time.Time                // when it was last asked about workers without room
-	waiting   int                      // stages that waited for tickets in the last placement
-	queues    map[string]*queuePermits
+	requests           map[TaskID]adviceRequest // unanswered, by stage
+	idleAt             time.Time                // when it is expected to have handled them
+	lateness           time.Duration            // by which its last answer was later than expected
+	staleAnswers       int                      // consecutive answers that came after their tickets had expired
+	backoff                                     // after requests that failed
+	withoutRoomAskedAt time.Time                // when it was last asked about workers without room
+	waitingStages      int                      // stages that waited for tickets in the last placement
+	queues             map[string]*queuePermits
 }
 
 // permitCount counts answers about workers, and those that permitted them.
@@ -116,11 +115,21 @@
 	startedAts map[string]time.Time // by worker, the start of the incarnation that it asks about
 }
 
-// retryDelay returns the delay before the next try, after a number of failures before the last one.
-func retryDelay(failures int, most time.Duration) time.Duration {
-	return min(most, adviceRetryDelay<<min(failures, 8))
+// backoff delays the next try after failures.
+type backoff struct {
+	failures int // consecutive ones
+	retryAt  time.Time
 }
 
+// fail records a failure. The delay is adviceRetryDelay after the first one and doubles, up to most.
+func (b *backoff) fail(now time.Time, most time.Duration) {
+	b.retryAt = now.Add(min(most, adviceRetryDelay<<min(b.failures, 8)))
+	b.failures++
+}
+
+// waits reports whether the delay is not over.
+func (b *backoff) waits(now time.Time) bool { return now.Before(b.retryAt) }
+
 // requestSize returns the number of workers in one request. Two requests about so many take no longer than a ticket is valid, so that
 // the tickets of both can be used together.
 func (a *Advice) requestSize() int {
@@ -138,16 +147,16 @@
 
 // mayAsk reports whether a request may be sent. The others wait here rather than at the advisor, so that the most urgent is always the next.
 func (a *advisor) mayAsk(now time.Time) bool {
-	return len(a.requests) < maxAdviceRequests && !now.Before(a.retryAt) && !now.Add(adviceOverlap).Before(a.idleAt)
+	return len(a.requests) < maxAdviceRequests && !a.waits(now) && !now.Add(adviceOverlap).Before(a.idleAt)
 }
 
-// patience returns how long to wait for the answer to a request that is due then.
-func (a *advisor) patience(now, due time.Time) time.Duration {
-	return adviceSlack<<min(a.failures/2, maxPatienceDoublings) + 2*(due.Sub(now)+a.delay)
+// timeout returns how long to wait for the answer to a request that is due then.
+func (a *advisor) timeout(now, due time.Time) time.Duration {
+	return adviceSlack<<min(a.failures/2, maxTimeoutDoublings) + 2*(due.Sub(now)+a.lateness)
 }
 
-// close removes an answered or failed request.
-func (a *advisor) close(now time.Time, stage TaskID) (adviceRequest, bool) {
+// remove removes an answered or failed request.
+func (a *advisor) remove(now time.Time, stage TaskID) (adviceRequest, bool) {
 	r, found := a.requests[stage]
 	delete(a.requests, stage)
 	a.idleAt = now
--- a/core/sched/isolation.go
+++ b/core/sched/isolation.go
@@ -183,7 +183,7 @@
 		case t.sharesWorker:
 			left = w.free()
 		default:
-			left = w.roomBesides(st.job.ID)
+			left = w.roomBesides(func(r *run) bool { return r.id.Job == st.job.ID })
 		}
 		if !size.Fits(left) || !t.mayRunOn(q, w, runsPerWorker) {
 			continue
@@ -229,11 +229,11 @@
 	}
 }
 
-// roomBesides returns the capacity that the worker has for a job's waiting tasks once the batch tasks of other jobs are done.
-func (w *worker) roomBesides(job string) Size {
+// roomBesides returns the capacity that the worker has once its batch tasks are done, but those that the function names.
+func (w *worker) roomBesides(stays func(*run) bool) Size {
 	room := w.Capacity
 	for _, r := range w.runs {
-		if r.id.Job == job || r.task != nil && r.task.stage.step.LongRunning {
+		if stays != nil && stays(r) || r.task != nil && r.task.stage.step.LongRunning {
 			room = room.Sub(r.size)
 		}
 	}
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -55,8 +55,8 @@
 			full[q.Pool] = append(full[q.Pool], size)
 		}
 	}
-	s.advisor.waiting = unadvised
-	s.planSoughtAdvice(now, pools, o)
+	s.advisor.waitingStages = unadvised
+	s.planMaintenanceAdvice(now, pools, o)
 }
 
 // mayHaveUnseenRuns reports whether the worker may have runs of an earlier owner that no poll has shown yet. The ownership must be confirmed up
@@ -205,12 +205,15 @@
 // more of them unavailable than the step permits.
 func (p *Step) spreads() bool { return p.LongRunning && !p.Backfill }
 
+// unavailableLimit returns how many tasks of the step may be unavailable at once, for maintenance.
+func (p *Step) unavailableLimit() int { return max(1, p.MaxUnavailable) }
+
 // spreadLimit returns how many tasks of the step run on one worker while other workers have room for the rest.
 func (p *Step) spreadLimit() int {
 	if !p.spreads() {
 		return p.workerLimit()
 	}
-	return min(p.workerLimit(), max(1, p.MaxUnavailable))
+	return min(p.workerLimit(), p.unavailableLimit())
 }
 
 // spreadWait is the time after which a task is placed on a worker beyond the spread limit, rather than wait any longer for
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -19,7 +19,7 @@
 	queues      map[string]*queue
 	queuePools  queuePools
 	advisor     advisor
-	sought      []*stage // for which maintenance has found no other worker since the last placement
+	seekRoom    []*stage // with tasks that maintenance could not move, for want of room elsewhere, in its last plan
 	workers     map[string]*worker
 	departed    map[string]departure // by id: workers that were forgotten and of which a copy of a start may still be executed
 	waves       map[int64]*wave
@@ -104,29 +104,21 @@
 
 // stage is one step of one occurrence of a job.
 type stage struct {
-	job            *job
-	occurrence     *occurrence
-	index          int
-	step           *Step
-	tasks          []task
-	remaining      int                // number of tasks that are not done
-	blockers       int                // number of steps that must be done first and are not
-	queued         bool               // it is in its queue's stages
-	rank           rank               // as of the last placement
-	gangRun        int64              // number of the gang's last run
-	verdicts       map[string]verdict // by worker, what the placement advisor has said
-	adviceFailures int                // consecutive requests about the stage without an answer
-	adviceRetryAt  time.Time          // no request about the stage is sent before then
-	// wantedWorkers is the number of workers that its pool should have until wantedUntil, because the advisor permits too few of those there.
-	wantedWorkers int
-	wantedUntil   time.Time
-	growsSince    time.Time // since when it has wanted more workers
-	// refusalLogged is when it was last logged that the advisor permits none of the workers.
-	refusalLogged time.Time
+	job        *job
+	occurrence *occurrence
+	index      int
+	step       *Step
+	tasks      []task
+	remaining  int   // number of tasks that are not done
+	blockers   int   // number of steps that must be done first and are not
+	queued     bool  // it is in its queue's stages
+	rank       rank  // as of the last placement
+	gangRun    int64 // number of the gang's last run
+	stageAdvice
 }
 
 // id returns the id of the stage's first task.
-func (st *stage) id() TaskID { return TaskID{st.job.ID, st.occurrence.index, st.index, 0} }
+func (st *stage) firstTask() TaskID { return TaskID{st.job.ID, st.occurrence.index, st.index, 0} }
 
 // task is one task of a stage.
 type task struct {
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -179,7 +179,7 @@
 
 // planWaves advances all waves that are not completed.
 func (s *State) planWaves(now time.Time, o *Orders) {
-	s.sought = nil
+	s.seekRoom = nil
 	for _, number := range sortedKeys(s.waves) {
 		w := s.waves[number]
 		if w.completionStored {
@@ -429,7 +429,7 @@
 		return false
 	}
 	for st, n := range w.longRunningRuns() {
-		if n > max(1, st.step.MaxUnavailable) {
+		if n > st.step.unavailableLimit() {
 			return true
 		}
 	}
@@ -460,7 +460,7 @@
 		}
 	}
 	for st, n := range taken {
-		if unavailable := st.unavailable(w); unavailable+n > max(1, st.step.MaxUnavailable) {
+		if unavailable := st.unavailable(w); unavailable+n > st.step.unavailableLimit() {
 			return "TasksAway:" + st.job.ID + "/" + strconv.Itoa(st.index) + ":" + strconv.Itoa(unavailable) + "+" + strconv.Itoa(n)
 		}
 	}
@@ -481,7 +481,7 @@
 		st := r.task.stage
 		taken[st]++
 		othersAway := st.unavailable(nil) - boolInt(!r.available())
-		if taken[st] > max(1, st.step.MaxUnavailable) && othersAway == 0 && !w.isStopping(st) {
+		if taken[st] > st.step.unavailableLimit() && othersAway == 0 && !w.isStopping(st) {
 			r.phase = stopping
 			w.requestScan()
 			s.logDecision("Stop", r.id, w.ID, "UpkeepDue", r.number)
@@ -521,10 +521,10 @@
 func (s *State) mayEmpty(now time.Time, w *worker) bool {
 	may := true
 	for st, n := range w.longRunningRuns() {
-		if excess := n - max(1, st.step.MaxUnavailable); excess > 0 && s.placesBeside(now, st, w) < excess {
+		if excess := n - st.step.unavailableLimit(); excess > 0 && s.placesBeside(now, st, w) < excess {
 			may = false
 			if s.config.Queues[st.job.Queue].Advice != nil {
-				s.sought = append(s.sought, st)
+				s.seekRoom = append(s.seekRoom, st)
 			}
 		}
 	}
@@ -537,7 +537,7 @@
 	n, runsPerWorker := 0, st.runsPerWorker()
 	for _, other := range s.sortedWorkers() {
 		if other != w && other.Pool == q.Pool && other.usable(now) && st.permitted(q, other) {
-			n += st.fitting(other.free(), st.step.workerLimit()-runsPerWorker[other.ID])
+			n += st.fitting(other, other.free(), runsPerWorker)
 		}
 	}
 	return n
