Count answers that nobody reads, and find what gives way without a scan

Callers saw no connection: 400 clients that asked on and on and read no answer held each connection of an entry for good, since a blocked write did not count as waiting for the caller. Their bytes in the system's buffers grew with them, and bytes behind a request that waits were bounded by nothing.

The guard counts a write as waiting, bounds requests that handlers work on and the system's buffers, and refuses what finds no room before its body is read; the refusal passes the ids whose acceptance is unsettled, so NotRun stays true. What gives way is found in heaps; it took a look at all connections for each read.

--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -1,73 +1,52 @@
 package guard
 
 import (
-	"context"
-	"io"
+	"container/heap"
 	"net"
-	"net/http"
-	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // ErrBusy is returned by reads of a body for which the budget has no room.
 var ErrBusy = errors.New("unfinished requests of other callers take all the memory that is set aside for them")
 
-// Limits bounds what the unfinished requests of all callers take together.
-type Limits struct {
-	Connections int   // open connections
-	Bytes       int64 // memory of header lines and bodies
-}
-
-const (
-	memoryPart          = 8 // one part in this many of a process's memory is for unfinished requests; a collected heap may take twice as much
-	connectionPart      = 4 // and one part in this many for connections
-	connectionBytes     = 20 << 10
-	reservedDescriptors = 200 // for files
-	descriptorPart      = 2   // one part in this many of the other descriptors is for callers
-	headerLineBytes     = 200 // memory of a parsed header line beyond its text
-	bodyGrowth          = 2   // a body that is read takes up to this many times its size
-)
-
 // stallTime is the time without progress after which a connection may be closed for the sake of others; a sender that is served at all
 // makes progress several times in it.
 const stallTime = 500 * time.Millisecond
 
-// ForProcess returns the limits for a process with so many bytes of memory and descriptors. Zero is unknown, and sets no limit.
-func ForProcess(memory int64, descriptors int) Limits {
-	l := Limits{Bytes: memory / memoryPart, Connections: int(memory / connectionPart / connectionBytes)}
-	if most := (descriptors - reservedDescriptors) / descriptorPart; descriptors > 0 && (l.Connections == 0 || most < l.Connections) {
-		l.Connections = max(1, most)
-	}
-	return l
-}
-
 // Guard applies limits to the connections of one server. It is safe for concurrent use.
 type Guard struct {
 	// Observe, if set before the guard is used, is called for each connection that the guard closes or refuses. It must not call the guard.
 	Observe func(Event)
 
-	limits  Limits
-	now     func() time.Time
-	mu      sync.Mutex
-	conns   map[*conn]bool
-	charged int64 // sum of the charges of all connections
+	limits   Limits
+	now      func() time.Time
+	mu       sync.Mutex
+	conns    map[*conn]bool
+	stalls   [stallClasses]stallHeap
+	charged  int64 // sum of the charges of all connections
+	requests int   // that handlers work on
 }
 
 // Event is what a guard did for lack of room.
 type Event struct {
 	Kind        string // one of the kinds below
 	Connections int    // open at the time
-	Charged     int64  // bytes charged to them
+	Requests    int    // that handlers worked on
+	Charged     int64  // bytes charged to the connections
 }
 
 // Kinds of events.
 const (
-	Evicted           = "Evicted"           // a connection without progress was closed
+	Evicted           = "Evicted"           // a connection that kept its server waiting was closed
 	ConnectionRefused = "ConnectionRefused" // a new connection was closed
 	ReadRefused       = "ReadRefused"       // header lines or a part of a body were not read
+	RequestRefused    = "RequestRefused"    // a whole header was answered with a refusal
+	BuffersUnset      = "BuffersUnset"      // the system refused to limit its buffers
 )
 
 // New returns a guard with the limits, of which zero sets none, and a clock.
@@ -78,27 +57,41 @@
 // observe reports an event.
 func (g *Guard) observe(kind string) {
 	if g.Observe != nil {
-		g.Observe(Event{kind, len(g.conns), g.charged})
+		g.Observe(Event{kind, len(g.conns), g.requests, g.charged})
 	}
 }
 
-// Protect makes a server obey the limits. The handlers get only those header fields that keep names.
-func (g *Guard) Protect(s *http.Server, keep ...string) {
-	s.Handler = g.handler(s.Handler, keep)
-	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
-	s.ConnState = func(c net.Conn, state http.ConnState) {
-		if c, guarded := c.(*conn); guarded && state == http.StateIdle {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			g.finish(c)
-		}
-	}
+// Listen returns a listener whose connections count against the limits.
+func (g *Guard) Listen(l net.Listener) net.Listener {
+	g.limitBuffers(l)
+	return &listener{l, g}
 }
 
-// Listen returns a listener whose connections count against the limits.
-func (g *Guard) Listen(l net.Listener) net.Listener { return &listener{l, g} }
+// limitBuffers divides the limit of the system's buffers among the connections, which inherit theirs from the listener.
+func (g *Guard) limitBuffers(l net.Listener) {
+	tcp, is := l.(*net.TCPListener)
+	if !is || g.limits.Buffers == 0 || g.limits.Connections == 0 {
+		return
+	}
+	size := int(g.limits.Buffers / int64(g.limits.Connections) / bufferGrowth)
+	if err := setBuffers(tcp, size); err != nil {
+		g.observe(BuffersUnset)
+	}
+}
 
-type connKey struct{}
+// setBuffers sets the sizes of a socket's buffers.
+func setBuffers(c syscall.Conn, size int) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var receiveErr, sendErr error
+	err = raw.Control(func(fd uintptr) {
+		receiveErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+		sendErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, size)
+	})
+	return errors.CombineErrors(err, errors.CombineErrors(receiveErr, sendErr))
+}
 
 // listener counts connections when they are accepted.
 type listener struct {
@@ -126,25 +119,43 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c.progressAt, c.waitsForCaller = now, true
-	if g.limits.Connections > 0 && len(g.conns) >= g.limits.Connections && !g.evictOne(now, c, func(*conn) bool { return true }) {
+	if g.limits.Connections > 0 && len(g.conns) >= g.limits.Connections && !g.evictOne(now, anyClass) {
 		g.observe(ConnectionRefused)
 		return false
 	}
+	c.progressAt, c.reading = now, true
 	g.conns[c] = true
+	g.place(c)
 	return true
 }
 
-// charge charges bytes of memory to a connection, and reports whether the budget has room for them.
-func (g *Guard) charge(c *conn, bytes int64) bool {
+// receive records that bytes have come on a connection, charges their cost, and reports whether the budget has room for it.
+func (g *Guard) receive(c *conn, bytes int, cost int64) bool {
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if c.arrived += bytes; c.arrived >= progressBytes {
+		c.arrived, c.progressAt = 0, now
+		g.place(c)
+	}
+	return g.charge(now, c, cost, g.limits.Bytes)
+}
+
+// bodyBudget returns the part of the budget that bodies may take, so that a short header finds room beside them.
+func (g *Guard) bodyBudget() int64 { return g.limits.Bytes - g.limits.Bytes/headerPart }
+
+// charge charges bytes of memory to a connection, and reports whether a budget has room for them.
+func (g *Guard) charge(now time.Time, c *conn, bytes, budget int64) bool {
 	if !g.conns[c] {
-		return false // it was evicted
+		return c.released // otherwise it was evicted
+	}
+	if bytes == 0 {
+		return true
 	}
-	for g.limits.Bytes > 0 && g.charged+bytes > g.limits.Bytes {
-		if !g.evictOne(now, c, func(o *conn) bool { return o.charged > 0 }) {
+	g.withdraw(c) // it must not give way to itself
+	defer g.place(c)
+	for g.limits.Bytes > 0 && g.charged+bytes > budget {
+		if !g.evictOne(now, chargedClass) {
 			g.observe(ReadRefused)
 			return false
 		}
@@ -154,21 +165,89 @@
 	return true
 }
 
-// finish returns what a connection was charged, since its request is done.
-func (g *Guard) finish(c *conn) {
-	g.charged -= c.charged
-	c.charged, c.arrived, c.waitsForCaller, c.inHeader, c.progressAt = 0, 0, true, true, g.now()
+// begin records that a handler begins to work on a request of the connection, and reports whether there is room for it.
+func (g *Guard) begin(c *conn, keepCharge bool) bool {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.conns[c] {
+		return true // its connection was evicted; nobody reads the answer
+	}
+	if !keepCharge {
+		g.discharge(c)
+	}
+	c.arrived, c.progressAt, c.pausedAt = 0, now, now
+	c.inHeader, c.reading = false, false
+	g.place(c)
+	if g.limits.Requests > 0 && g.requests >= g.limits.Requests && !g.evictOne(now, workingClass) {
+		g.observe(RequestRefused)
+		return false
+	}
+	c.working = true
+	g.requests++
+	g.place(c)
+	return true
 }
 
-// evictOne closes the eligible connection other than c that has made no progress for the longest time, and reports whether there was one.
-func (g *Guard) evictOne(now time.Time, c *conn, eligible func(*conn) bool) bool {
+// end records that the handler is done. If a rest of the body is to come, the server reads it.
+func (g *Guard) end(c *conn, rest bool) {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.working {
+		c.working = false
+		g.requests--
+	}
+	if rest {
+		c.reading, c.progressAt = true, now
+	}
+	g.place(c)
+}
+
+// idle records that a request was answered, and returns what it was charged.
+func (g *Guard) idle(c *conn) {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.discharge(c)
+	c.arrived, c.reading, c.inHeader, c.progressAt = 0, true, true, now
+	g.place(c)
+}
+
+// wait records whether the connection waits for its caller to send or, with writing, to receive. The time in which it did not is no time
+// without progress.
+func (g *Guard) wait(c *conn, waits, writing bool) {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := c.waits()
+	switch {
+	case !writing:
+		c.reading = waits
+	case waits:
+		c.writing++
+	default:
+		c.writing--
+		c.progressAt = now // the caller took what was written
+	}
+	switch after := c.waits(); {
+	case before && !after:
+		c.pausedAt = now
+	case !before && after:
+		c.progressAt = c.progressAt.Add(now.Sub(c.pausedAt))
+	}
+	g.place(c)
+}
+
+// evictOne closes the connection of the classes that has made no progress for the longest time, and reports whether there was one.
+func (g *Guard) evictOne(now time.Time, of stallClass) bool {
 	var worst *conn
-	for o := range g.conns {
-		if o != c && o.waitsForCaller && eligible(o) && now.Sub(o.progressAt) >= stallTime && (worst == nil || o.progressAt.Before(worst.progressAt)) {
-			worst = o
+	for class := range stallClass(stallClasses) {
+		if h := g.stalls[class]; class&of == of && len(h) > 0 && (worst == nil || h[0].progressAt.Before(worst.progressAt)) {
+			worst = h[0]
 		}
 	}
-	if worst == nil {
+	if worst == nil || now.Sub(worst.progressAt) < stallTime {
 		return false
 	}
 	g.observe(Evicted)
@@ -177,145 +256,97 @@
 	return true
 }
 
+// discharge returns what a connection was charged.
+func (g *Guard) discharge(c *conn) {
+	g.charged -= c.charged
+	c.charged = 0
+}
+
 // remove forgets a connection that ends.
 func (g *Guard) remove(c *conn) {
-	if g.conns[c] {
-		delete(g.conns, c)
-		g.charged -= c.charged
-		c.charged = 0
+	if !g.conns[c] {
+		return
+	}
+	g.withdraw(c)
+	delete(g.conns, c)
+	g.discharge(c)
+	if c.working {
+		c.working = false
+		g.requests--
 	}
 }
 
-// conn is a caller's connection. The guard's mutex protects its fields.
-type conn struct {
-	net.Conn
-	guard    *Guard
-	inHeader bool // what is read belongs to the header of a request
-	// waitsForCaller is set while a header, a body or the rest of one that no handler reads is to come.
-	waitsForCaller bool
-	charged        int64
-	arrived        int       // bytes since progressAt
-	progressAt     time.Time // when the last progressBytes had come, or its last request was done
+// Release takes a connection out of the limits while it stays open.
+func (g *Guard) Release(c net.Conn) {
+	guarded, is := c.(*conn)
+	if !is {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.remove(guarded)
+	guarded.released = true
 }
 
-// Read reads from the connection and charges the header lines that it reads.
-func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n == 0 {
-		return n, err
-	}
-	c.guard.noteArrival(c, n)
-	lines := int64(0)
-	for _, x := range b[:n] {
-		if x == '\n' {
-			lines++
-		}
+// stallClass tells what a connection that waits for its caller holds.
+type stallClass int
+
+const (
+	chargedClass stallClass = 1 << iota // bytes of the budget
+	workingClass                        // a handler
+	stallClasses = iota * 2
+	anyClass     = stallClass(0)
+)
+
+// place puts a connection where evictOne finds it, if it waits for its caller.
+func (g *Guard) place(c *conn) {
+	g.withdraw(c)
+	if !g.conns[c] || !c.waits() {
+		return
 	}
-	c.guard.mu.Lock()
-	inHeader := c.inHeader
-	c.guard.mu.Unlock()
-	cost := int64(0)
-	if inHeader {
-		cost = lines*headerLineBytes + int64(n)
+	class := anyClass
+	if c.charged > 0 {
+		class |= chargedClass
 	}
-	if !c.guard.charge(c, cost) {
-		return 0, &net.OpError{Op: "read", Net: "tcp", Err: ErrBusy} // a server closes the connection for it, and blames no request
+	if c.working {
+		class |= workingClass
 	}
-	return n, err
+	c.stalls = &g.stalls[class]
+	heap.Push(c.stalls, c)
 }
 
-// CloseWrite ends the writing half of the connection, so that a caller that still sends can read the answer.
-func (c *conn) CloseWrite() error {
-	if half, can := c.Conn.(interface{ CloseWrite() error }); can {
-		return half.CloseWrite()
+// withdraw undoes place.
+func (g *Guard) withdraw(c *conn) {
+	if c.stalls != nil {
+		heap.Remove(c.stalls, c.index)
+		c.stalls = nil
 	}
-	return nil
 }
 
-// Close closes the connection and returns what it was charged.
-func (c *conn) Close() error {
-	c.guard.mu.Lock()
-	c.guard.remove(c)
-	c.guard.mu.Unlock()
-	return c.Conn.Close()
-}
+// stallHeap is a heap of connections by the time of their last progress, so that finding the one that gives way takes no scan.
+type stallHeap []*conn
 
-// progressBytes is the number of bytes that must come in stallTime for a connection to make progress: 64 kbit/s.
-const progressBytes = 4 << 10
+func (h stallHeap) Len() int { return len(h) }
 
-// noteArrival records that bytes have come on a connection.
-func (g *Guard) noteArrival(c *conn, bytes int) {
-	now := g.now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if c.arrived += bytes; c.arrived >= progressBytes {
-		c.arrived, c.progressAt = 0, now
-	}
-}
+func (h stallHeap) Less(i, j int) bool { return h[i].progressAt.Before(h[j].progressAt) }
 
-// setWaits records whether the connection waits for its caller.
-func (g *Guard) setWaits(c *conn, waits bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	c.waitsForCaller = waits
-}
-
-// handler returns a handler that drops the header fields that are not kept, and charges the body as it is read. The server keeps its own
-// request, since it tells by the type of the body how to end the exchange.
-func (g *Guard) handler(next http.Handler, keep []string) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, guarded := r.Context().Value(connKey{}).(*conn)
-		if !guarded {
-			next.ServeHTTP(w, r)
-			return
-		}
-		kept := make(http.Header, len(keep))
-		for _, name := range keep {
-			for _, value := range r.Header.Values(name) {
-				kept.Add(name, strings.Clone(value)) // the values of a header share memory
-				if len(kept.Values(name)) == maxKeptValues {
-					break
-				}
-			}
-		}
-		r.Header, r.Trailer = make(http.Header), nil
-		g.mu.Lock()
-		g.finish(c)
-		c.inHeader, c.waitsForCaller = false, false
-		g.mu.Unlock()
-		body := &body{ReadCloser: r.Body, request: r, conn: c}
-		own := r.WithContext(r.Context())
-		own.Header, own.Body = kept, body
-		next.ServeHTTP(w, own)
-		if !body.whole && r.ContentLength != 0 {
-			g.mu.Lock()
-			c.waitsForCaller, c.progressAt = true, g.now() // the server reads the rest
-			g.mu.Unlock()
-		}
-	})
+func (h stallHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
 }
 
-// maxKeptValues is the number of values of a header field that a handler gets; two are enough to tell that a field came more than once.
-const maxKeptValues = 2
-
-// body is a request's body that is charged as it is read.
-type body struct {
-	io.ReadCloser
-	request *http.Request // the server's
-	conn    *conn
-	whole   bool // it was read to its end
+// Push appends a connection.
+func (h *stallHeap) Push(x any) {
+	c := x.(*conn)
+	c.index = len(*h)
+	*h = append(*h, c)
 }
 
-// Read reads from the body. The error is ErrBusy if there is no memory for it.
-func (b *body) Read(p []byte) (int, error) {
-	b.conn.guard.setWaits(b.conn, true)
-	n, err := b.ReadCloser.Read(p)
-	b.conn.guard.setWaits(b.conn, false)
-	if errors.Is(err, io.EOF) {
-		b.whole, b.request.Trailer = true, nil
-	}
-	if n > 0 && !b.conn.guard.charge(b.conn, int64(n)*bodyGrowth) {
-		return 0, ErrBusy
-	}
-	return n, err
+// Pop removes the last connection.
+func (h *stallHeap) Pop() any {
+	last := len(*h) - 1
+	c := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return c
 }
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -8,6 +8,12 @@
 	"github.com/shoenig/test/must"
 )
 
+func TestHeapLimit(t *testing.T) {
+	for _, c := range []struct{ memory, want int64 }{{1000 << 20, 800 << 20}, {100 << 20, 76 << 20}, {30 << 20, 15 << 20}} {
+		must.Eq(t, c.want, HeapLimit(c.memory))
+	}
+}
+
 func TestForProcess(t *testing.T) {
 	for _, c := range []struct {
 		memory      int64
@@ -15,9 +21,9 @@
 		want        Limits
 	}{
 		{0, 0, Limits{}},
-		{184 << 20, 4100, Limits{Bytes: 23 << 20, Connections: 1950}},
-		{64 << 20, 700, Limits{Bytes: 8 << 20, Connections: 250}},
-		{64 << 20, 0, Limits{Bytes: 8 << 20, Connections: 819}},
+		{184 << 20, 4100, Limits{Bytes: 23 << 20, Connections: 1177, Requests: 184, Buffers: 184 << 16}},
+		{64 << 20, 700, Limits{Bytes: 8 << 20, Connections: 250, Requests: 64, Buffers: 4 << 20}},
+		{64 << 20, 0, Limits{Bytes: 8 << 20, Connections: 409, Requests: 64, Buffers: 4 << 20}},
 		{0, 100, Limits{Connections: 1}},
 	} {
 		must.Eq(t, c.want, ForProcess(c.memory, c.descriptors))
@@ -59,7 +65,9 @@
 			if s.bytes == 0 {
 				fits = g.add(conns[s.conn])
 			} else {
-				fits = g.charge(conns[s.conn], s.bytes)
+				g.mu.Lock()
+				fits = g.charge(now, conns[s.conn], s.bytes, g.limits.Bytes)
+				g.mu.Unlock()
 			}
 			must.Eq(t, s.fits, fits, must.Sprint(c.name))
 		}
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -63,7 +63,7 @@
 		advised:      prometheus.NewCounter(prometheus.CounterOpts{Name: "daisysaddle_advice_workers_total", Help: "Workers named in requests to the placement advisor."}),
 		copies:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "daisysaddle_order_copies_total", Help: "Orders that were sent again because their answer was overdue."}, []string{"order"}),
 		taskCopies:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "daisysaddle_task_copies_total", Help: "Second runs of tasks of speculative steps: started, ended first (won) or second (lost)."}, []string{"what", "queue", "reason"}),
-		guarded:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "daisysaddle_guard_total", Help: "Connections and reads of callers that were closed or refused for lack of memory or descriptors, by kind."}, []string{"kind"}),
+		guarded:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "daisysaddle_guard_total", Help: "Connections, requests and reads that were closed or refused for lack of memory or descriptors, by port and kind."}, []string{"port", "kind"}),
 		droppedLines: prometheus.NewCounter(prometheus.CounterOpts{Name: "daisysaddle_log_lines_dropped_total", Help: "Log lines that were dropped to keep their volume bounded."}),
 	}
 	m.panics = prometheus.NewCounter(prometheus.CounterOpts{Name: "daisysaddle_panics_total", Help: "Panics that were caught; it must be zero."})
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -12,9 +12,11 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"daisysaddle/core/fleet"
 	"daisysaddle/core/sched"
+	"daisysaddle/io/guard"
 	"daisysaddle/io/peer"
 	"daisysaddle/io/store"
 )
@@ -87,6 +89,7 @@
 	Cores       float64 // processors that the entry may use; zero means unknown
 	LinkMbps    float64 // bandwidth of its network link in megabits per second; zero means unknown
 	Bounds      sched.Settings
+	Limits      guard.Limits // of callers; other ports get a part of them
 }
 
 // Dependencies holds the clients and functions that an entry depends on.
@@ -126,9 +129,10 @@
 	eventLog          eventLog
 	background        errgroup.Group
 
-	mu        sync.Mutex
-	waves     map[int64]sched.Wave
-	accepting map[string]*acceptance
+	mu          sync.Mutex
+	waves       map[int64]sched.Wave
+	accepting   map[string]*acceptance
+	guardLogged map[[2]string]*rate.Sometimes // by port and kind
 }
 
 // Timing of calls to the key-value store, whose rate limits hold for all entries together: 400 writes and 2000 reads a
@@ -146,7 +150,7 @@
 func New(s Settings, p Dependencies) *Node {
 	n := &Node{
 		Settings: s, Dependencies: p, Log: zerolog.Nop(), metrics: newMetrics(), eventLog: newEventLog(), incarnation: uuid.NewString(),
-		waves: make(map[int64]sched.Wave), accepting: make(map[string]*acceptance),
+		waves: make(map[int64]sched.Wave), accepting: make(map[string]*acceptance), guardLogged: make(map[[2]string]*rate.Sometimes),
 		acceptBatcher: &store.Batcher{Client: p.Store, MinInterval: acceptBatchDelay, RetryTimeout: acceptTimeout},
 	}
 	n.started = p.Now()
--- a/io/node/requests.go
+++ b/io/node/requests.go
@@ -44,6 +44,14 @@
 	return v.Outcome == OutcomeNotRun && strings.HasPrefix(v.Reason, "Store")
 }
 
+// ReasonBusy is the reason of a request for which the entry has no room.
+const ReasonBusy = "Busy"
+
+// RefuseUnread returns the verdict on a request for a job that was not read whole, for want of room.
+func (n *Node) RefuseUnread(id string) Verdict {
+	return n.settleVerdict(n.Now(), id, Verdict{Outcome: OutcomeNotRun, RetryAfter: minRetryAfter, Reason: ReasonBusy})
+}
+
 // reasonKnown is the reason of a request whose id was accepted before.
 const reasonKnown = "Known"
 
@@ -366,13 +374,16 @@
 	j.Zone = v.Zone
 	j.Accepted = v.firstSent(j)
 	v = c.node.settleVerdict(c.node.Now(), j.ID, c.node.accept(ctx, j))
-	if v.Outcome == OutcomeDone && v.Reason != reasonKnown {
+	added := v.Outcome == OutcomeDone && v.Reason != reasonKnown
+	if added {
 		j.Zone = v.Zone // another attempt may have stored the job
-		c.enqueue(func(now time.Time) { c.state.AddJob(now, j, sched.Progress{}, false) })
 	}
 	return v
 }
 
+// ownerFullRetryAfter is the delay for the caller of a job that doesn't fit the owner's memory, which is free again when jobs end.
+const ownerFullRetryAfter = 2 * time.Second
+
 // checkRoom checks whether there is room for a job: outcomeAdmitted lets it be stored, OutcomeDone means that its id is known, and
 // OutcomeTaken that it is known as that of another account's job.
 func (c *control) checkRoom(now time.Time, j sched.Job) Verdict {
--- a/io/node/serve.go
+++ b/io/node/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"daisysaddle/io/guard"
 )
@@ -17,12 +18,10 @@
 // Listeners are the addresses on which an entry serves, with their handlers.
 type Listeners struct {
 	Front        netip.AddrPort
-	FrontHandler http.Handler
+	FrontHandler guard.Handlers
 	Ready        netip.AddrPort
 	ReadyHandler http.Handler
 	Metrics      netip.AddrPort // zero for none
-	Guard        *guard.Guard   // of the callers' connections; nil for none
-	FrontFields  []string       // names of the header fields that the front handler needs
 }
 
 const (
@@ -32,26 +31,48 @@
 	shutdownTimeout = 2 * time.Second // for requests in flight; together with unreadyPeriod below the grace period of 6 s
 	headerTimeout   = 3 * time.Second
 	requestTimeout  = 30 * time.Second // for a whole request with its body; ten times as long as callers wait for an answer
+	answerTimeout   = 40 * time.Second // for a whole request with its answer; longer than requestTimeout
 	maxHeaderBytes  = 16 << 10
 	shutdownReserve = 500 * time.Millisecond // part of the grace period that is left for Run to end
 )
 
+// Limits of the servers beside that of the callers, whose requests have a short header and no body.
+const (
+	internalTimeout = 10 * time.Second
+	internalIdle    = 30 * time.Second
+)
+
+// newServer returns a server of a port, whose connections obey the limits.
+func (n *Node) newServer(port string, l guard.Limits, h guard.Handlers) (*http.Server, *guard.Guard) {
+	s := &http.Server{
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: internalTimeout, WriteTimeout: internalTimeout, IdleTimeout: internalIdle, MaxHeaderBytes: maxHeaderBytes,
+	}
+	g := n.newGuard(port, l)
+	g.Protect(s, h)
+	return s, g
+}
+
+// newGuard returns a guard of a port that logs and counts what it does.
+func (n *Node) newGuard(port string, l guard.Limits) *guard.Guard {
+	g := guard.New(l, time.Now)
+	g.Observe = func(e guard.Event) { n.observeGuard(port, e) }
+	return g
+}
+
 // Serve runs an entry until stop is done, then stops it gracefully within the grace period. It returns an error when an address
 // can't be served or the entry fails.
 func (n *Node) Serve(stop context.Context, l Listeners, grace time.Duration) error {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
-	front := &http.Server{Handler: l.FrontHandler, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, MaxHeaderBytes: maxHeaderBytes}
-	if l.Guard != nil {
-		l.Guard.Observe = n.observeGuard
-		l.Guard.Protect(front, l.FrontFields...)
-	}
+	front, frontGuard := n.newServer("Front", n.Limits, l.FrontHandler)
+	front.ReadTimeout, front.WriteTimeout, front.IdleTimeout = requestTimeout, answerTimeout, requestTimeout
 	ready := &http.Server{Handler: l.ReadyHandler, ReadHeaderTimeout: headerTimeout}
 	metrics := &http.Server{Handler: n.MetricsHandler(), ReadHeaderTimeout: headerTimeout}
 	servers := []struct {
 		address netip.AddrPort
 		server  *http.Server
-	}{{l.Ready, ready}, {l.Front, front}, {l.Metrics, metrics}}
+		guard   *guard.Guard
+	}{{l.Ready, ready, nil}, {l.Front, front, frontGuard}, {l.Metrics, metrics, nil}}
 	group, ctx := errgroup.WithContext(ctx)
 	for _, s := range servers {
 		if !s.address.IsValid() {
@@ -61,8 +82,8 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", s.address)
 		}
-		if s.server == front && l.Guard != nil {
-			listener = l.Guard.Listen(listener)
+		if s.guard != nil {
+			listener = s.guard.Listen(listener)
 		}
 		group.Go(func() error {
 			if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -95,10 +116,23 @@
 	return group.Wait()
 }
 
-// observeGuard logs and counts what the guard of the callers' connections did.
-func (n *Node) observeGuard(e guard.Event) {
-	n.metrics.guarded.WithLabelValues(e.Kind).Inc()
-	n.logLimited("CallersGuarded").Str("Kind", e.Kind).Int("Connections", e.Connections).Int64("Bytes", e.Charged).Send()
+// guardLogPeriod is the shortest time between two log lines on what the guard of a port did.
+const guardLogPeriod = time.Second
+
+// observeGuard counts what the guard of a port did, and logs it at most once in guardLogPeriod for each port and kind.
+func (n *Node) observeGuard(port string, e guard.Event) {
+	n.metrics.guarded.WithLabelValues(port, e.Kind).Inc()
+	n.mu.Lock()
+	key := [2]string{port, e.Kind}
+	often := n.guardLogged[key]
+	if often == nil {
+		often = &rate.Sometimes{Interval: guardLogPeriod}
+		n.guardLogged[key] = often
+	}
+	n.mu.Unlock()
+	often.Do(func() {
+		n.logLimited("CallersGuarded").Str("Port", port).Str("Kind", e.Kind).Int("Connections", e.Connections).Int("Requests", e.Requests).Int64("Bytes", e.Charged).Send()
+	})
 }
 
 // ReloadOn checks the settings file on each signal until ctx ends and logs the result; the settings read at the start stay in
--- a/io/node/unsettled.go
+++ b/io/node/unsettled.go
@@ -14,7 +14,7 @@
 //	StoreSilent         the same: the store left a probe unanswered, so no write was sent
 //	StoreRefused        the store answered each attempt and applied none
 //	NotEncoded          nothing was sent
-//	Busy                the body was not read whole, so nothing was sent
+//	Busy                the body was not read whole or not decoded, so nothing was sent
 //
 // A request to the owner or a write that was sent and not answered leaves the id unsettled: the write may still be
 // applied. Until the store answers a write of the id, a refusal proves nothing, on this attempt or on a later one.
