--- a/io/node/serve.go
+++ b/io/node/serve.go
@@ -38,6 +38,7 @@
 
 // Limits of the servers beside that of the callers, whose requests have a short header and no body.
 const (
+	internalPart    = 16 // one part in this many of the callers' limits
 	internalTimeout = 10 * time.Second
 	internalIdle    = 30 * time.Second
 )
@@ -66,13 +67,14 @@
 	defer cancel()
 	front, frontGuard := n.newServer("Front", n.Limits, l.FrontHandler)
 	front.ReadTimeout, front.WriteTimeout, front.IdleTimeout = requestTimeout, answerTimeout, requestTimeout
-	ready := &http.Server{Handler: l.ReadyHandler, ReadHeaderTimeout: headerTimeout}
-	metrics := &http.Server{Handler: n.MetricsHandler(), ReadHeaderTimeout: headerTimeout}
+	internal := n.Limits.Part(internalPart)
+	ready, readyGuard := n.newServer("Ready", internal, guard.Handlers{Serve: l.ReadyHandler, Fields: []string{}})
+	metrics, metricsGuard := n.newServer("Metrics", internal, guard.Handlers{Serve: n.MetricsHandler()})
 	servers := []struct {
 		address netip.AddrPort
 		server  *http.Server
 		guard   *guard.Guard
-	}{{l.Ready, ready, nil}, {l.Front, front, frontGuard}, {l.Metrics, metrics, nil}}
+	}{{l.Ready, ready, readyGuard}, {l.Front, front, frontGuard}, {l.Metrics, metrics, metricsGuard}}
 	group, ctx := errgroup.WithContext(ctx)
 	for _, s := range servers {
 		if !s.address.IsValid() {
@@ -82,11 +84,8 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", s.address)
 		}
-		if s.guard != nil {
-			listener = s.guard.Listen(listener)
-		}
 		group.Go(func() error {
-			if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.server.Serve(s.guard.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 				return errors.Wrapf(err, "serve on %s", s.address)
 			}
 			return nil
