--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"daisysaddle/core/fleet"
+	"daisysaddle/io/guard"
 	"daisysaddle/io/wire"
 )
 
@@ -24,6 +25,7 @@
 	HandleFrame func(from Identity, frame *wire.Frame) // called for each received frame
 	LinkChanged func(peer Identity, up bool)           // called when a link opens or closes
 	Handler     http.Handler                           // serves requests that peers forward
+	Guard       *guard.Guard                           // limits connections until their peers have proved who they are; nil for no limit
 
 	mu      sync.Mutex
 	links   map[string]*link // by the peer's incarnation
@@ -37,6 +39,9 @@
 // Serve accepts links and forwarded requests until ctx ends.
 func (m *Mesh) Serve(ctx context.Context, listener net.Listener) error {
 	m.streams.init()
+	if m.Guard != nil {
+		listener = m.Guard.Listen(listener)
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	server := &http.Server{Handler: m.Handler, ReadHeaderTimeout: handshakeTimeout}
 	group.Go(func() error { return ignoreClosed(server.Serve(&m.streams)) })
@@ -55,7 +60,14 @@
 				// An unresponsive peer in the handshake must not delay the shutdown.
 				cancelClose := context.AfterFunc(ctx, func() { _ = conn.Close() })
 				defer cancelClose()
-				if l, err := accept(conn, m.TLSConfig, m.Self); err == nil && m.addLink(l) {
+				l, err := accept(conn, m.TLSConfig, m.Self)
+				if err != nil {
+					return nil
+				}
+				if m.Guard != nil {
+					m.Guard.Release(conn)
+				}
+				if m.addLink(l) {
 					m.serveLink(ctx, l)
 				}
 				return nil
