--- a/io/node/events.go
+++ b/io/node/events.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"net/http"
 	"strconv"
 	"time"
 
@@ -47,6 +48,7 @@
 // RecordAnswer records the answer to a caller's request. It logs only refusals and failures, since accepted jobs are logged
 // elsewhere.
 func (n *Node) RecordAnswer(method, queue, id string, status int, v Verdict, took time.Duration) {
+	method = knownMethod(method)
 	n.metrics.requests.WithLabelValues(method, strconv.Itoa(status)).Observe(took.Seconds())
 	if status < firstErrorStatus {
 		return
@@ -58,6 +60,17 @@
 
 const firstErrorStatus = 400
 
+// otherMethod stands for each method that no request to the job service has, so that callers can't add time series.
+const otherMethod = "Other"
+
+func knownMethod(method string) string {
+	switch method {
+	case http.MethodGet, http.MethodPost, http.MethodDelete:
+		return method
+	}
+	return otherMethod
+}
+
 func (n *Node) ownerRevision() uint64 {
 	if o := n.owner.Load(); o != nil {
 		return o.revision
