--- a/io/node/events.go
+++ b/io/node/events.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -48,7 +49,7 @@
 // RecordAnswer records the answer to a caller's request. It logs only refusals and failures, since accepted jobs are logged
 // elsewhere.
 func (n *Node) RecordAnswer(method, queue, id string, status int, v Verdict, took time.Duration) {
-	method = knownMethod(method)
+	method, id = knownMethod(method), shorten(id)
 	n.metrics.requests.WithLabelValues(method, strconv.Itoa(status)).Observe(took.Seconds())
 	if status < firstErrorStatus {
 		return
@@ -71,6 +72,17 @@
 	return otherMethod
 }
 
+// maxLoggedBytes is the length of a text of a caller from which it is cut in the log. Lines wait in memory while their reader is slow.
+const maxLoggedBytes = 100
+
+// shorten returns a copy of the beginning of a text that is too long for the log, and other texts as they are.
+func shorten(text string) string {
+	if len(text) <= maxLoggedBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxLoggedBytes], "") + "..."
+}
+
 func (n *Node) ownerRevision() uint64 {
 	if o := n.owner.Load(); o != nil {
 		return o.revision
