--- a/io/node/node.go
+++ b/io/node/node.go
@@ -90,6 +90,7 @@
 	LinkMbps    float64 // bandwidth of its network link in megabits per second; zero means unknown
 	Bounds      sched.Settings
 	Limits      guard.Limits // of callers; other ports get a part of them
+	StoredBytes int64        // memory of jobs that wait to be stored; zero for no limit
 }
 
 // Dependencies holds the clients and functions that an entry depends on.
@@ -132,6 +133,7 @@
 	mu          sync.Mutex
 	waves       map[int64]sched.Wave
 	accepting   map[string]*acceptance
+	storing     int64                         // memory of the jobs in accepting
 	guardLogged map[[2]string]*rate.Sometimes // by port and kind
 }
 
--- a/io/node/requests.go
+++ b/io/node/requests.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"daisysaddle/core/sched"
+	"daisysaddle/io/guard"
 	"daisysaddle/io/store"
 )
 
@@ -155,6 +156,10 @@
 	return v
 }
 
+// storedGrowth is the memory that a job takes while it waits to be stored, as a multiple of its stored form: the form itself, the batch, its
+// encoding and the request.
+const storedGrowth = 8
+
 // accept stores a job on the condition that its id is new.
 func (n *Node) accept(ctx context.Context, j sched.Job) Verdict {
 	if n.Store.Down(time.Now()) {
@@ -170,6 +175,14 @@
 	n.mu.Lock()
 	a := n.accepting[j.ID]
 	if a == nil {
+		weight := int64(len(value)) * storedGrowth
+		if n.StoredBytes > 0 && n.storing > 0 && n.storing+weight > n.StoredBytes {
+			e := guard.Event{Kind: guard.RequestRefused, Requests: len(n.accepting), Charged: n.storing}
+			n.mu.Unlock()
+			n.observeGuard("Store", e)
+			return Verdict{Outcome: OutcomeNotRun, RetryAfter: n.storeRetryAfter(), Reason: "StoreQueueFull"}
+		}
+		n.storing += weight
 		a = &acceptance{done: make(chan struct{})}
 		n.accepting[j.ID] = a
 		change := store.Change{
@@ -181,6 +194,7 @@
 			a.verdict, a.stored = n.acceptVerdict(j, s, err)
 			n.mu.Lock()
 			delete(n.accepting, j.ID)
+			n.storing -= weight
 			n.mu.Unlock()
 			close(a.done)
 		})
