--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -146,6 +146,7 @@
 	CheckpointEvery time.Duration // interval at which running tasks save their progress
 	PaceDelay       time.Duration // delay until a pace order takes effect
 	ToleratedZones  int           // number of availability zones that may be lost at once
+	JobBytes        int64         // memory that jobs may take at the owner; zero for no limit
 	RateWindow      time.Duration // window over which an account's rate of jobs is limited
 	RateOverage     float64       // fraction by which an account may exceed its rate and its cap
 	RateSlack       int           // number of jobs that an account may submit in a window beyond its rate
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -18,6 +18,7 @@
 	settings    Settings
 	config      Config
 	jobs        map[string]*job
+	jobBytes    int64 // memory of all jobs
 	queues      map[string]*queue
 	queuePools  queuePools
 	advisor     advisor
@@ -104,6 +105,7 @@
 	zonesVersion    uint64           // version of the job's progress that holds all of them
 	watchers        []func(JobState) // called once the final state is stored
 	endedRuns       AccountRuns      // what may still have run when it ended under an earlier owner
+	memory          jobMemory
 }
 
 // occurrence is one execution of a job's steps. A one-off job has only one.
@@ -231,6 +233,8 @@
 		j.acceptedAt = now
 	}
 	s.jobs[j.ID] = j
+	j.memory.description, j.memory.occurrence = j.descriptionBytes(), j.occurrenceBytes()
+	defer func() { s.account(j) }()
 	s.placementChanged = true
 	if p.State.Final() {
 		j.state, j.visibleState, j.endedAt = p.State, p.State, p.Ended
@@ -305,7 +309,7 @@
 func (s *State) createOccurrences(now time.Time, j *job, known int, done map[int]OccurrenceProgress) {
 	tasks := j.taskCount()
 	mayCreate := func(k int) bool {
-		return k <= known || !now.Before(j.dueAt(k)) && (len(j.occurrences) == 0 || (len(j.occurrences)+1)*tasks <= maxLiveTasks)
+		return k <= known || !now.Before(j.dueAt(k)) && (len(j.occurrences) == 0 || (len(j.occurrences)+1)*tasks <= maxLiveTasks && s.holdsAnother(j))
 	}
 	for !j.state.Final() && j.nextOccurrence < j.occurrenceCount() && mayCreate(j.nextOccurrence) {
 		k := j.nextOccurrence
@@ -320,6 +324,7 @@
 func (s *State) createOccurrence(now time.Time, j *job, k int, p OccurrenceProgress) {
 	o := &occurrence{index: k, due: j.dueAt(k), remaining: len(j.Steps)}
 	j.occurrences[k] = o
+	s.account(j)
 	if now.Before(o.due) {
 		j.early = append(j.early, o)
 	}
@@ -412,6 +417,7 @@
 	j := st.job
 	j.doneOccurrences = append(j.doneOccurrences, o.index)
 	delete(j.occurrences, o.index)
+	s.account(j)
 	if len(j.doneOccurrences) == j.occurrenceCount() {
 		s.endJob(now, j, Completed)
 	}
@@ -562,6 +568,9 @@
 				f(j.visibleState)
 			}
 			j.watchers = nil
+			if !j.inherited {
+				s.releaseEnded(j)
+			}
 		}
 	}
 }
@@ -624,7 +633,10 @@
 			delete(s.scheduled, id)
 			delete(s.longRunningJobs, id)
 			delete(s.suspectJobs, id)
+			s.account(j)
 			gone = append(gone, id)
+		} else if j.visibleState.Final() && now.Sub(j.endedAt) > endedRunsTime {
+			s.releaseEnded(j)
 		}
 	}
 	slices.Sort(gone)
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -29,6 +29,7 @@
 	group         errgroup.Group
 	revisions     map[string]uint64    // of the records that the owner writes, by key
 	admitted      map[string]admission // jobs that other entries may be storing, by id
+	promisedBytes int64                // memory of jobs that are admitted and not known yet
 	refused       map[string]uint64    // jobs refused by this owner, by client account
 	jobReads      []string             // ids of announced jobs to be read next
 	readingJobs   bool                 // announced jobs are being read
--- a/io/node/requests.go
+++ b/io/node/requests.go
@@ -380,9 +380,20 @@
 
 // submit accepts a job if the queue has room for it.
 func (c *control) submit(ctx context.Context, j sched.Job) Verdict {
-	v := c.query(ctx, func(now time.Time) Verdict { return c.checkRoom(now, j) })
+	promised := int64(0) // belongs to the control goroutine
+	v := c.query(ctx, func(now time.Time) Verdict {
+		v := c.checkRoom(now, j)
+		if v.Outcome == outcomeAdmitted {
+			promised = j.Bytes()
+			c.promisedBytes += promised
+		}
+		return v
+	})
 	c.countRefusal(j, v)
 	if v.Outcome != outcomeAdmitted {
+		if v.Outcome == OutcomeUnknown { // the question may be answered later
+			c.enqueue(func(time.Time) { c.promisedBytes -= promised })
+		}
 		return v
 	}
 	j.Zone = v.Zone
@@ -392,6 +403,12 @@
 	if added {
 		j.Zone = v.Zone // another attempt may have stored the job
 	}
+	c.enqueue(func(now time.Time) {
+		c.promisedBytes -= promised
+		if added {
+			c.state.AddJob(now, j, sched.Progress{}, false)
+		}
+	})
 	return v
 }
 
@@ -410,6 +427,11 @@
 	if _, admitted := c.admitted[j.ID]; admitted || c.state.Awaits(j.ID) || c.node.unsettled.has(now, j.ID) {
 		return Verdict{Outcome: outcomeAdmitted} // only the store knows whether an earlier attempt took effect
 	}
+	if !c.state.FitsMemory(&j, c.promisedBytes) {
+		c.refused[j.Account]++
+		c.node.observeGuard("Owner", guard.Event{Kind: guard.RequestRefused, Requests: len(c.admitted), Charged: c.state.JobBytes() + c.promisedBytes})
+		return Verdict{Outcome: OutcomeNotRun, RetryAfter: ownerFullRetryAfter, Reason: "OwnerFull"}
+	}
 	r := c.state.Admit(now, j)
 	if !r.Refused {
 		return Verdict{Outcome: outcomeAdmitted, Zone: c.state.HomeZone(&j), FirstSent: r.FirstSent}
@@ -444,6 +466,7 @@
 	job        sched.Job // without its spec
 	admittedAt time.Time
 	contested  bool // two accounts were admitted with the id, so that only the store knows whose job it is
+	bytes      int64
 }
 
 // admit checks whether there is room for a job that the asking entry will store.
@@ -454,7 +477,8 @@
 			j.Zone = v.Zone
 			j.Accepted = v.firstSent(j)
 			earlier, again := c.admitted[j.ID]
-			c.admitted[j.ID] = admission{j, now, again && (earlier.contested || earlier.job.Account != j.Account)}
+			c.promisedBytes += j.Bytes() - earlier.bytes
+			c.admitted[j.ID] = admission{j, now, again && (earlier.contested || earlier.job.Account != j.Account), j.Bytes()}
 		}
 		return v
 	})
@@ -466,7 +490,7 @@
 func (c *control) recordStored(ctx context.Context, id, zone string) Verdict {
 	return c.query(ctx, func(now time.Time) Verdict {
 		a, admitted := c.admitted[id]
-		delete(c.admitted, id)
+		c.dropAdmission(id)
 		// An announced job may be that of an earlier attempt, with runs of an earlier owner. The intake shows a job that was stored with
 		// the zone of another attempt.
 		if admitted && !a.contested && !c.state.Awaits(id) && a.job.Zone == zone {
@@ -480,11 +504,17 @@
 func (c *control) expireAdmissions(now time.Time) {
 	for id, a := range c.admitted {
 		if now.Sub(a.admittedAt) > unsettledPeriod {
-			delete(c.admitted, id)
+			c.dropAdmission(id)
 		}
 	}
 }
 
+// dropAdmission forgets an admission.
+func (c *control) dropAdmission(id string) {
+	c.promisedBytes -= c.admitted[id].bytes
+	delete(c.admitted, id)
+}
+
 func (c *control) jobState(ctx context.Context, caller Caller, id string) Verdict {
 	return c.query(ctx, func(time.Time) Verdict {
 		if c.hides(caller, id) {
--- a/io/node/unsettled.go
+++ b/io/node/unsettled.go
@@ -15,6 +15,7 @@
 //	StoreRefused        the store answered each attempt and applied none
 //	NotEncoded          nothing was sent
 //	StoreQueueFull      no write was sent for the id, and none is waiting
+//	OwnerFull           the same as those of Admit
 //	Busy                the body was not read whole or not decoded, so nothing was sent
 //
 // A request to the owner or a write that was sent and not answered leaves the id unsettled: the write may still be
