Bound the requests that other entries forward

The server of the links has limits of its own, but none on connections, since one that is closed may carry a request whose outcome is then unknown.

--- a/io/guard/limits.go
+++ b/io/guard/limits.go
@@ -58,6 +58,12 @@
 	}
 }
 
+// Forwarded returns the limits of the requests that trusted processes forward. Their connections are not limited, since one that is closed may
+// carry a request whose outcome is then unknown.
+func (l Limits) Forwarded() Limits {
+	return Limits{Requests: l.Requests, Bytes: l.Bytes, BodyKept: l.BodyKept}
+}
+
 // HeapLimit returns the limit for the collector of a process with so much memory. It leaves room for what lies outside the heap: the program
 // itself and the system's buffers.
 func HeapLimit(memory int64) int64 {
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -211,6 +212,15 @@
 	return mux
 }
 
+// refuseForwarded answers a request of another entry for which this one has no room. It did nothing, and the other entry tells its caller.
+func refuseForwarded(w http.ResponseWriter, r *http.Request) {
+	if !strings.HasPrefix(r.URL.Path, "/jobs/") && !strings.HasPrefix(r.URL.Path, "/admissions/") {
+		w.WriteHeader(http.StatusServiceUnavailable) // the other entry expects no verdict
+		return
+	}
+	writeVerdict(w, http.StatusOK, Verdict{Outcome: OutcomeNotRun, RetryAfter: minRetryAfter, Reason: ReasonBusy})
+}
+
 // jobPath returns the path of a request about a job, which names the caller.
 func jobPath(caller Caller, id string) string {
 	return "/jobs/" + id + "?" + url.Values{"account": {caller.Account}, "queue": {caller.Queue}}.Encode()
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -26,6 +26,8 @@
 	LinkChanged func(peer Identity, up bool)           // called when a link opens or closes
 	Handler     http.Handler                           // serves requests that peers forward
 	Guard       *guard.Guard                           // limits connections until their peers have proved who they are; nil for no limit
+	Requests    *guard.Guard                           // limits the requests that peers forward; nil for no limit
+	Refuse      http.Handler                           // answers those that Requests refuses
 
 	mu      sync.Mutex
 	links   map[string]*link // by the peer's incarnation
@@ -44,7 +46,12 @@
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	server := &http.Server{Handler: m.Handler, ReadHeaderTimeout: handshakeTimeout}
-	group.Go(func() error { return ignoreClosed(server.Serve(&m.streams)) })
+	streams := net.Listener(&m.streams)
+	if m.Requests != nil {
+		m.Requests.Protect(server, guard.Handlers{Serve: m.Handler, Refuse: m.Refuse})
+		streams = m.Requests.Listen(streams)
+	}
+	group.Go(func() error { return ignoreClosed(server.Serve(streams)) })
 	group.Go(func() error {
 		<-ctx.Done()
 		_ = listener.Close()
