Bound the specs that carriers keep, and forget those of old jobs

A carrier kept 4,096 specs of up to 4 KB whatever its memory, and the owner the id of each job whose spec it ever sent, for each carrier.

--- a/io/node/carrier.go
+++ b/io/node/carrier.go
@@ -29,6 +29,7 @@
 	sendPending bool              // a goroutine is about to send them
 	specs       map[string]string // by job
 	specOrder   []string          // jobs in specs, oldest first
+	specBytes   int64             // length of all specs
 	group       errgroup.Group
 }
 
@@ -161,8 +162,10 @@
 	if _, known := p.specs[job]; !known {
 		p.specOrder = append(p.specOrder, job)
 	}
+	p.specBytes += int64(len(text) - len(p.specs[job]))
 	p.specs[job] = text
-	if len(p.specOrder) > maxCachedSpecs {
+	for most := p.node.SpecBytes; len(p.specOrder) > maxCachedSpecs || most > 0 && p.specBytes > most && len(p.specOrder) > 1; {
+		p.specBytes -= int64(len(p.specs[p.specOrder[0]]))
 		delete(p.specs, p.specOrder[0])
 		p.specOrder = p.specOrder[1:]
 	}
--- a/io/node/carriers.go
+++ b/io/node/carriers.go
@@ -92,6 +92,13 @@
 	callShift            = 32 // call numbers start at the fencing token shifted left by these bits, so that those of two ownerships differ
 )
 
+// forget drops what is kept of a job.
+func (k *carriers) forget(job string) {
+	for _, e := range k.known {
+		delete(e.specs, job)
+	}
+}
+
 func newCarriers(c *control) *carriers {
 	limit := rate.Inf
 	if c.node.LinkMbps > 0 {
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -284,6 +284,7 @@
 	c.expireAdmissions(now)
 	for _, id := range c.state.Forget(now) {
 		delete(c.revisions, keyProgress+id)
+		c.carriers.forget(id)
 		change := store.Change{Deletes: []string{keyProgress + id, keyJobs + id, keyIntake + id, keyCancel + id}}
 		c.saveBatcher.Submit(c.saveContext, change, func(store.CommitResult, error) {}) // after a failure a later owner deletes the records
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -90,6 +90,7 @@
 	LinkMbps    float64 // bandwidth of its network link in megabits per second; zero means unknown
 	Bounds      sched.Settings
 	Limits      guard.Limits // of callers; other ports get a part of them
+	SpecBytes   int64        // memory of the specs that a carrier keeps; zero for no limit
 	StoredBytes int64        // memory of jobs that wait to be stored; zero for no limit
 }
 
