--- a/cmd/daisysaddle/run.go
+++ b/cmd/daisysaddle/run.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -20,6 +21,7 @@
 
 	"daisysaddle/io/admin"
 	"daisysaddle/io/entry"
+	"daisysaddle/io/guard"
 	"daisysaddle/io/logs"
 	"daisysaddle/io/stand"
 	"daisysaddle/io/store"
@@ -40,6 +42,9 @@
 	Backend    string           `help:"Platform adapter." default:"Http"`
 	Peers      []netip.AddrPort `help:"Peer addresses to link with at the start."`
 	SecretFile string           `help:"File that holds the deployment's peer secret." type:"existingfile"`
+
+	MemoryMB    int `help:"Memory that the process may take, in MB; 0 is GOMEMLIMIT, or what its control group or the machine has." name:"memory-mb"`
+	Descriptors int `help:"File descriptors that the process may open; 0 is its own limit."`
 }
 
 // BeforeResolve loads the settings file so that its values apply to flags that are not given.
@@ -64,7 +69,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "read %s", path)
 	}
-	knownKeys := []string{"Name", "Deployment", "Zone", "Listen", "PeerListen", "Admin", "Platform", "Backend", "Peers", "SecretFile"}
+	knownKeys := []string{"Name", "Deployment", "Zone", "Listen", "PeerListen", "Admin", "Platform", "Backend", "Peers", "SecretFile", "MemoryMB", "Descriptors"}
 	section := file.Section("Entry")
 	for _, key := range section.Keys() {
 		found := false
@@ -86,6 +91,8 @@
 	}), nil
 }
 
+const bytesPerMB = 1 << 20
+
 // Run runs the entry until the process is signalled to stop.
 func (c *entryCommand) Run(env environment) error {
 	if c.SecretFile == "" {
@@ -98,6 +105,13 @@
 	s := entry.Settings{
 		Name: c.Name, Deployment: c.Deployment, Zone: c.Zone, Listen: c.Listen, PeerListen: c.PeerListen, Admin: c.Admin,
 		Platform: c.Platform, Backend: c.Backend, Peers: c.Peers, Secret: strings.TrimSpace(string(secret)),
+		MemoryMB: c.MemoryMB, Descriptors: c.Descriptors,
+	}
+	if s.MemoryMB == 0 {
+		s.MemoryMB = int(guard.OwnMemory() / bytesPerMB)
+	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(guard.HeapLimit(int64(s.MemoryMB) * bytesPerMB))
 	}
 	e, err := entry.New(s, logs.New(env.err, c.Name))
 	if err != nil {
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -31,6 +31,7 @@
 	TargetTrial      Kind = "TargetTrial" // an ejected target gets trial requests
 	TargetReadmitted Kind = "TargetReadmitted"
 	ConnectionSilent Kind = "ConnectionSilent" // a connection to a target was aborted as silent
+	CallersGuarded   Kind = "CallersGuarded"   // connections, requests or reads were closed or refused for lack of room
 	RequestUnknown   Kind = "RequestUnknown"   // the outcome of a request is not known
 )
 
@@ -68,7 +69,7 @@
 // isTraffic reports whether events of this kind occur at a rate that grows with the request rate.
 func (k Kind) isTraffic() bool {
 	switch k {
-	case RequestUnknown, ConnectionSilent, TargetEjected, TargetTrial, TargetReadmitted:
+	case RequestUnknown, CallersGuarded, ConnectionSilent, TargetEjected, TargetTrial, TargetReadmitted:
 		return true
 	default:
 		return false
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"daisysaddle/core/event"
 	"daisysaddle/core/fleet"
+	"daisysaddle/io/guard"
 	"daisysaddle/io/peer"
 	"daisysaddle/io/proxy"
 	"daisysaddle/io/store"
@@ -30,6 +31,7 @@
 	proxy    *proxy.Proxy
 	control  *control
 	metrics  *metrics
+	guarded  *guardCounters
 
 	callerListener net.Listener
 	peerListener   net.Listener
@@ -43,6 +45,9 @@
 	maxHeaderBytes    = 64 << 10
 	readHeaderTimeout = 5 * time.Second
 	callerIdleTimeout = 60 * time.Second
+
+	maxAdminHeaderBytes = 16 << 10
+	adminTimeout        = 10 * time.Second
 )
 
 // New returns an entry with open listeners, or an error if a setting is invalid or an address is in use. The system
@@ -66,10 +71,12 @@
 	e.self = fleet.Sender{Name: s.Name, Incarnation: s.Name + "-" + uuid.NewString()[:8], PeerAddress: addressOf(e.peerListener)}
 	e.client = store.NewClient(newBackend(s.Platform))
 	identity := peer.Identity{Deployment: s.Deployment, Zone: s.Zone, Sender: e.self}
-	e.mesh = &peer.Mesh{Self: identity, TLSConfig: keys}
+	e.guarded = newGuardCounters()
 	e.control = newControl(e)
+	e.mesh = &peer.Mesh{Self: identity, TLSConfig: keys, Guard: e.newGuard("Peers", s.limits().Part(internalPart))}
 	e.proxy = proxy.New(e.self, s.Zone, e.mesh, e.control.reportEvent)
-	e.mesh.Handler = e.proxy.PeerHandler()
+	e.mesh.Handler, e.mesh.Refuse = e.proxy.PeerHandler(), http.HandlerFunc(e.proxy.RefusePeer)
+	e.mesh.Requests = e.newGuard("Forwarded", s.limits().Forwarded())
 	e.mesh.HandleFrame = func(from peer.Identity, f *wire.Frame) { e.control.send(frameArrived{from, f}) }
 	e.mesh.LinkChanged = func(p peer.Identity, up bool) { e.control.send(peerChanged{p, up}) }
 	e.metrics = newMetrics(e)
@@ -118,14 +125,23 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	callerServer := &http.Server{
-		Handler:           e.proxy,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 	}
-	adminServer := &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}
-	group.Go(func() error { return serve(callerServer, e.callerListener) })
-	group.Go(func() error { return serve(adminServer, e.adminListener) })
+	callerGuard := e.newGuard("Callers", e.settings.limits())
+	callerGuard.Protect(callerServer, guard.Handlers{Serve: e.proxy, Refuse: http.HandlerFunc(e.proxy.Refuse)})
+	adminServer := &http.Server{
+		MaxHeaderBytes:    maxAdminHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       adminTimeout,
+		WriteTimeout:      adminTimeout,
+		IdleTimeout:       callerIdleTimeout,
+	}
+	adminGuard := e.newGuard("Admin", e.settings.limits().Part(internalPart))
+	adminGuard.Protect(adminServer, guard.Handlers{Serve: e.adminHandler()})
+	group.Go(func() error { return serve(callerServer, callerGuard.Listen(e.callerListener)) })
+	group.Go(func() error { return serve(adminServer, adminGuard.Listen(e.adminListener)) })
 	group.Go(func() error { return e.mesh.Serve(ctx, e.peerListener) })
 	group.Go(func() error { return e.control.run(ctx) })
 	group.Go(func() error { return e.runPlatform(ctx) })
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -41,7 +41,7 @@
 
 func newMetrics(e *Entry) *metrics {
 	m := &metrics{entry: e, registry: prometheus.NewRegistry()}
-	m.registry.MustRegister(m, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.registry.MustRegister(m, e.guarded, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
--- a/io/entry/settings.go
+++ b/io/entry/settings.go
@@ -4,6 +4,9 @@
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
+
+	"daisysaddle/io/guard"
+	"daisysaddle/io/proxy"
 )
 
 // Settings holds the settings that an entry needs before it can read its configuration from the platform.
@@ -18,10 +21,39 @@
 	Backend    string           // name of the platform adapter
 	Peers      []netip.AddrPort // entries to link with at the start
 	Secret     string           // peer secret of the deployment
+	// MemoryMB and Descriptors bound what the process may take; zero is what the process finds of its own limits.
+	MemoryMB    int
+	Descriptors int
+}
+
+const (
+	internalPart = 16 // one part in this many of the callers' limits is for each other port
+)
+
+// memory returns the memory that the process may take, in bytes; zero is unknown.
+func (s *Settings) memory() int64 {
+	if s.MemoryMB > 0 {
+		return int64(s.MemoryMB) << 20
+	}
+	return guard.OwnMemory()
+}
+
+// limits returns the limits for callers.
+func (s *Settings) limits() guard.Limits {
+	descriptors := s.Descriptors
+	if descriptors == 0 {
+		descriptors = guard.OwnDescriptors()
+	}
+	l := guard.ForProcess(s.memory(), descriptors)
+	l.BodyKept = proxy.MaxKeptBodyBytes
+	return l
 }
 
 // Validate returns an error that names the first missing or invalid setting, or nil.
 func (s *Settings) Validate() error {
+	if s.MemoryMB < 0 || s.Descriptors < 0 {
+		return errors.New("entry settings: MemoryMB or Descriptors is negative")
+	}
 	texts := []struct{ key, value string }{{"Name", s.Name}, {"Deployment", s.Deployment}, {"Zone", s.Zone}, {"Secret", s.Secret}}
 	for _, t := range texts {
 		if t.value == "" {
--- a/io/proxy/exchange.go
+++ b/io/proxy/exchange.go
@@ -19,6 +19,7 @@
 	"daisysaddle/core/flow"
 	"daisysaddle/core/once"
 	"daisysaddle/core/retry"
+	"daisysaddle/io/guard"
 )
 
 // exchange handles one request, from a caller or another entry, until its response is sent.
@@ -64,6 +65,11 @@
 		x.refuse(http.StatusRequestEntityTooLarge, NotRun, ReasonBodyTooLarge, "the body is larger than 64 MB")
 		return
 	}
+	if errors.Is(err, guard.ErrBusy) {
+		x.w.Header().Set("Connection", "close")
+		x.refuse(http.StatusServiceUnavailable, NotRun, ReasonBusy, "the entry has no room for the body")
+		return
+	}
 	x.refuse(http.StatusBadRequest, NotRun, ReasonBadRequest, "the body did not arrive whole")
 }
 
--- a/io/proxy/meta.go
+++ b/io/proxy/meta.go
@@ -53,6 +53,7 @@
 	ReasonOwnerUncertain   Reason = "OwnerUncertain"
 	ReasonDuplicate        Reason = "Duplicate"
 	ReasonBodyTooLarge     Reason = "BodyTooLarge"
+	ReasonBusy             Reason = "Busy"
 )
 
 // forwarding is the reason why an entry forwards a request to another one.
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -231,6 +231,27 @@
 	p.serve(w, r, forwardingNone)
 }
 
+// Refuse answers a caller's request for which the entry has no room, without its body.
+func (p *Proxy) Refuse(w http.ResponseWriter, r *http.Request) { p.refuseBusy(w, r, forwardingNone) }
+
+// RefusePeer answers a request that another entry forwards in the same way.
+func (p *Proxy) RefusePeer(w http.ResponseWriter, r *http.Request) {
+	p.refuseBusy(w, r, forwarding(r.Header.Get(headerForwarding)))
+}
+
+func (p *Proxy) refuseBusy(w http.ResponseWriter, r *http.Request, f forwarding) {
+	table := p.table.Load()
+	x := &exchange{proxy: p, table: table, w: w, r: r}
+	x.meta, _ = parseRequestMeta(r, time.Now(), x.defaultTimeout) // a request with an odd header is refused as well
+	x.meta.forwarding = f
+	x.dispatcher = table.dispatchers[x.meta.service]
+	w.Header().Set(HeaderZone, p.Zone)
+	x.refuse(http.StatusServiceUnavailable, NotRun, ReasonBusy, "the entry has no room for the request")
+}
+
+// MaxKeptBodyBytes is the part of a caller's body that the proxy keeps in memory while it serves the request.
+const MaxKeptBodyBytes = maxBufferedBodyBytes
+
 // Active returns the number of requests being served.
 func (p *Proxy) Active() int64 { return p.activeRequests.Load() }
 
