--- a/cmd/daisysaddle/crowd_test.go
+++ b/cmd/daisysaddle/crowd_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -197,3 +198,26 @@
 		t.Run(c.name, func(t *testing.T) { checkCrowd(t, c) })
 	}
 }
+
+// TestCrowdOfTeamsThatLeave guards against what callers leave in a queue that they joined under a name of their own and left.
+func TestCrowdOfTeamsThatLeave(t *testing.T) {
+	run := func(i int, c net.Conn) error {
+		if i < 16 {
+			_, err := io.WriteString(c, "GET /wait HTTP/1.1\r\nHost: s\r\nRequest-Timeout: 3600\r\n\r\n") // takes a slot
+			return err
+		}
+		for n := range 100 {
+			_, _ = fmt.Fprintf(c, "GET /wait HTTP/1.1\r\nHost: s\r\nDaisysaddle-Team: %d-%d-%s\r\n\r\n", i, n, strings.Repeat("t", 30<<10))
+			time.Sleep(10 * time.Millisecond) // the entry queues it
+			_ = c.Close()
+			next, err := net.Dial("tcp", callersAddress)
+			if err != nil {
+				return nil // the entry may refuse it
+			}
+			defer next.Close()
+			c = next
+		}
+		return nil
+	}
+	checkCrowd(t, portCrowd{"teams", callersAddress, 100, 0, run, true})
+}
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"strings"
 	"time"
 
 	"daisysaddle/core/kernel"
@@ -80,9 +81,27 @@
 	if w.queued {
 		w.queued = false
 		q.length--
+		q.dropRemoved()
 	}
 }
 
+// dropRemoved drops the removed waiters once they are more than half of those that are held, so that callers which leave while nothing is
+// admitted leave nothing behind.
+func (q *fifoQueue) dropRemoved() {
+	held := q.waiters[q.head:]
+	if len(held) < compactThreshold || q.length*2 > len(held) {
+		return
+	}
+	kept := q.waiters[:0]
+	for _, w := range held {
+		if w.queued {
+			kept = append(kept, w)
+		}
+	}
+	clear(q.waiters[len(kept):])
+	q.waiters, q.head = kept, 0
+}
+
 // Len returns the number of waiters.
 func (q *fifoQueue) Len() int { return q.length }
 
@@ -162,15 +181,50 @@
 	return fullPercent / float64(max(1, quota))
 }
 
-func (t *teamQueues) push(w *Waiter) {
+// maxUnlistedTeams is the number of queues for teams that the configuration does not list. Callers name their teams, so a crowd of names must not
+// take memory, nor precedence over teams that wait. Further names share one queue.
+const (
+	maxUnlistedTeams = 64
+	sharedTeam       = ""
+)
+
+// teamOf returns the name of the queue of a waiter's team, which exists from then on.
+func (t *teamQueues) teamOf(w *Waiter) string {
 	if t.byTeam == nil {
 		t.byTeam = make(map[string]*teamQueue)
 	}
-	q := t.byTeam[w.Team]
-	if q == nil {
-		q = &teamQueue{}
-		t.byTeam[w.Team] = q
+	if t.byTeam[w.Team] != nil {
+		return w.Team
 	}
+	if _, listed := t.quotas[w.Team]; !listed && w.Team != sharedTeam && t.unlisted() >= maxUnlistedTeams {
+		w.Team = sharedTeam
+	}
+	if t.byTeam[w.Team] == nil {
+		t.byTeam[strings.Clone(w.Team)] = &teamQueue{}
+	}
+	return w.Team
+}
+
+// unlisted drops the empty queues of teams that are not listed once there are too many, and returns the number of those left.
+func (t *teamQueues) unlisted() int {
+	if n := len(t.byTeam) - len(t.quotas); n < maxUnlistedTeams {
+		return n
+	}
+	n := 0
+	for name, q := range t.byTeam {
+		switch _, listed := t.quotas[name]; {
+		case listed || name == sharedTeam:
+		case q.length == 0 && q.pass <= t.virtualTime:
+			delete(t.byTeam, name)
+		default:
+			n++
+		}
+	}
+	return n
+}
+
+func (t *teamQueues) push(w *Waiter) {
+	q := t.byTeam[t.teamOf(w)]
 	if q.length == 0 {
 		q.pass = max(q.pass, t.virtualTime)
 	}
