--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -30,8 +30,9 @@
 	sentAt           time.Time
 	canceledAsSilent atomic.Bool
 
-	mu   sync.Mutex
-	done bool // whether the response header has arrived or the attempt has failed
+	mu           sync.Mutex
+	silenceCheck *time.Timer // the next one
+	done         bool        // whether the response header has arrived or the attempt has failed
 }
 
 // result is the result of an attempt; the body of its response has not been read yet.
@@ -115,6 +116,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.done = true
+	if a.silenceCheck != nil {
+		a.silenceCheck.Stop() // it would hold the request and its answer
+	}
 }
 
 func (a *attempt) isDone() bool {
@@ -134,7 +138,12 @@
 
 // scheduleSilenceCheck runs checkSilence at intervals of silenceTimeout until it returns true or the attempt is done.
 func (a *attempt) scheduleSilenceCheck(cancel context.CancelFunc) {
-	time.AfterFunc(a.silenceTimeout, func() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.done {
+		return
+	}
+	a.silenceCheck = time.AfterFunc(a.silenceTimeout, func() {
 		if !a.isDone() && !a.checkSilence(cancel) {
 			a.scheduleSilenceCheck(cancel)
 		}
