Bound request ids and the answers that are kept under them

Ids and answers have a sixteenth of the memory each. The oldest answers go first, and their outcome stays; a new id without room is refused as TooManyIDs, with a true NotRun.

--- a/cmd/daisysaddle/crowd_test.go
+++ b/cmd/daisysaddle/crowd_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/shoenig/test/must"
 
 	"daisysaddle/core/config"
@@ -33,9 +34,10 @@
 	peersAddress     = "127.0.18.1:8081"
 	adminAddress     = "127.0.18.1:8082"
 
-	smallBuffer = 4096
-	largeAnswer = 8 << 20
-	callersHead = "POST / HTTP/1.1\r\nHost: s\r\n"
+	smallBuffer  = 4096
+	largeAnswer  = 8 << 20
+	storedAnswer = 8 << 10 // the largest one that is kept under a request id
+	callersHead  = "POST / HTTP/1.1\r\nHost: s\r\n"
 )
 
 // serveCrowdTarget answers at once, with as much as the path says, or never.
@@ -44,7 +46,7 @@
 		<-r.Context().Done()
 		return
 	}
-	size := map[string]int{"/large": largeAnswer}[r.URL.Path]
+	size := map[string]int{"/large": largeAnswer, "/stored": storedAnswer}[r.URL.Path]
 	_, _ = io.Copy(io.Discard, r.Body) // a caller's body may be cut
 	_, _ = w.Write(bytes.Repeat([]byte("a"), size))
 }
@@ -199,6 +201,26 @@
 	}
 }
 
+// TestCrowdOfRequestIDs guards against answers that are kept under the ids of whole, legal requests.
+func TestCrowdOfRequestIDs(t *testing.T) {
+	run := func(_ int, c net.Conn) error {
+		time.Sleep(2 * time.Second) // the entry owns new ids for certain by then
+		read := make(chan error, 1)
+		go func() {
+			_, err := io.Copy(io.Discard, c)
+			read <- err
+		}()
+		for range 150 {
+			if _, err := fmt.Fprintf(c, "POST /stored HTTP/1.1\r\nHost: s\r\nIdempotency-Key: %s\r\nContent-Length: 0\r\n\r\n", uuid.Must(uuid.NewV7())); err != nil {
+				return err
+			}
+		}
+		_ = c.(*net.TCPConn).CloseWrite()
+		return <-read
+	}
+	checkCrowd(t, portCrowd{"request ids", callersAddress, 100, 0, run, false})
+}
+
 // TestCrowdOfTeamsThatLeave guards against what callers leave in a queue that they joined under a name of their own and left.
 func TestCrowdOfTeamsThatLeave(t *testing.T) {
 	run := func(i int, c net.Conn) error {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -75,6 +75,7 @@
 	e.control = newControl(e)
 	e.mesh = &peer.Mesh{Self: identity, TLSConfig: keys, Guard: e.newGuard("Peers", s.limits().Part(internalPart))}
 	e.proxy = proxy.New(e.self, s.Zone, e.mesh, e.control.reportEvent)
+	e.proxy.Limit(int(s.memory()/idPart/idBytes), s.memory()/answerPart)
 	e.mesh.Handler, e.mesh.Refuse = e.proxy.PeerHandler(), http.HandlerFunc(e.proxy.RefusePeer)
 	e.mesh.Requests = e.newGuard("Forwarded", s.limits().Forwarded())
 	e.mesh.HandleFrame = func(from peer.Identity, f *wire.Frame) { e.control.send(frameArrived{from, f}) }
--- a/io/entry/settings.go
+++ b/io/entry/settings.go
@@ -28,6 +28,9 @@
 
 const (
 	internalPart = 16 // one part in this many of the callers' limits is for each other port
+	idPart       = 16 // one part in this many of the process's memory is for request ids
+	idBytes      = 512
+	answerPart   = 16 // and one for the answers that are kept under them
 )
 
 // memory returns the memory that the process may take, in bytes; zero is unknown.
--- a/io/proxy/exchange.go
+++ b/io/proxy/exchange.go
@@ -35,6 +35,8 @@
 	mayHaveRun bool // an attempt may have run, so the outcome must not be NotRun
 	recorder   *bodyRecorder
 	attempts   int
+	idIsNew    bool          // no earlier attempt with the request id has run, though the id is not claimed
+	retryAfter time.Duration // for a refusal; zero for the expected wait of the service
 }
 
 // run claims the request id if the request needs a claim, reads the body and runs the attempts.
@@ -95,6 +97,10 @@
 		x.replay(result)
 	case once.Running:
 		x.refuse(http.StatusConflict, Unknown, ReasonDuplicate, "another attempt with this request id is running")
+	case once.Full:
+		x.idIsNew, x.retryAfter = true, x.proxy.owners.freeIn(time.Now())
+		x.refuse(http.StatusServiceUnavailable, NotRun, ReasonTooManyIDs, "the entry that owns this request id has no room for it")
+		return false
 	case once.Uncertain:
 		x.refuse(http.StatusBadGateway, Unknown, ReasonOwnerUncertain, "an earlier owner of this request id may have run it")
 	}
@@ -228,7 +234,7 @@
 // needsClaim reports whether the request id must be claimed before the request runs. Until then, another attempt with
 // the same id may have run elsewhere.
 func (x *exchange) needsClaim() bool {
-	return !x.claimed && !x.meta.idempotent && x.meta.id != "" && x.meta.forwarding != forwardingSpill
+	return !x.claimed && !x.idIsNew && !x.meta.idempotent && x.meta.id != "" && x.meta.forwarding != forwardingSpill
 }
 
 // newOutgoingRequest returns the request to send to a target or peer.
@@ -426,6 +432,9 @@
 
 // retryAfterSeconds returns the estimated time to serve the current queue in whole seconds, at least 1.
 func (x *exchange) retryAfterSeconds() int {
+	if x.retryAfter > 0 {
+		return int(math.Ceil(x.retryAfter.Seconds()))
+	}
 	if x.dispatcher == nil {
 		return 1
 	}
--- a/io/proxy/meta.go
+++ b/io/proxy/meta.go
@@ -54,6 +54,7 @@
 	ReasonDuplicate        Reason = "Duplicate"
 	ReasonBodyTooLarge     Reason = "BodyTooLarge"
 	ReasonBusy             Reason = "Busy"
+	ReasonTooManyIDs       Reason = "TooManyIDs"
 )
 
 // forwarding is the reason why an entry forwards a request to another one.
--- a/io/proxy/owner.go
+++ b/io/proxy/owner.go
@@ -149,6 +149,18 @@
 	return o.ids.Claim(now, id, since)
 }
 
+// freeIn returns how long no new id can be claimed, if the table of ids is full.
+func (o *idOwners) freeIn(now time.Time) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return min(maxRetryAfter, max(minRetryAfter, o.ids.FreeAt(now).Sub(now)))
+}
+
+const (
+	minRetryAfter = time.Second // Retry-After has a resolution of 1 s
+	maxRetryAfter = time.Minute
+)
+
 // finish stores the result of the request with a claimed id. It releases the id if the request did not run, so that the
 // request may be tried again.
 func (o *idOwners) finish(id string, r once.Result) {
@@ -158,5 +170,5 @@
 		o.ids.Release(id)
 		return
 	}
-	o.ids.Finish(id, r)
+	o.ids.Finish(time.Now(), id, r)
 }
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -249,6 +249,13 @@
 	x.refuse(http.StatusServiceUnavailable, NotRun, ReasonBusy, "the entry has no room for the request")
 }
 
+// Limit bounds what the proxy keeps of finished requests: a number of request ids, and the memory of their answers. Zero sets no limit.
+func (p *Proxy) Limit(ids int, answerBytes int64) {
+	p.owners.mu.Lock()
+	defer p.owners.mu.Unlock()
+	p.owners.ids.Limit, p.owners.ids.AnswerBytes = ids, answerBytes
+}
+
 // MaxKeptBodyBytes is the part of a caller's body that the proxy keeps in memory while it serves the request.
 const MaxKeptBodyBytes = maxBufferedBodyBytes
 
--- a/io/proxy/response.go
+++ b/io/proxy/response.go
@@ -71,13 +71,24 @@
 	if !x.claimed {
 		return
 	}
-	r := once.Result{Outcome: string(Done), Status: response.StatusCode, BodyComplete: !x.recorder.tooLarge, Body: x.recorder.body}
-	if r.BodyComplete {
-		r.Header = x.w.Header().Clone()
+	r := once.Result{Outcome: string(Done), Status: response.StatusCode}
+	if !x.recorder.tooLarge && headerSize(x.w.Header()) <= maxStoredBodyBytes {
+		r.BodyComplete, r.Body, r.Header = true, x.recorder.body, x.w.Header().Clone()
 	}
 	x.recordResult(r)
 }
 
+// headerSize returns the length of a header's text.
+func headerSize(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
+
 // copyBody streams the body. It flushes after each read if the body has no known length, so that the caller gets each
 // part of the body when the target sends it.
 func (x *exchange) copyBody(response *http.Response) error {
--- a/io/scale/core.go
+++ b/io/scale/core.go
@@ -223,7 +223,7 @@
 		for i := range ids {
 			id := fmt.Sprintf("%036d", i)
 			table.Claim(time.Unix(1000, 0), id, time.Time{})
-			table.Finish(id, once.Result{Outcome: "Done", Status: 200, BodyComplete: true, Body: make([]byte, 64)})
+			table.Finish(time.Unix(1000, 0), id, once.Result{Outcome: "Done", Status: 200, BodyComplete: true, Body: make([]byte, 64)})
 		}
 		return table
 	}), nil
