--- a/cmd/daisysaddle/crowd_test.go
+++ b/cmd/daisysaddle/crowd_test.go
@@ -178,6 +178,8 @@
 		{"bodies in pieces", callersAddress, 300, 0, crowd.Body(callersHead, 1<<20, 1024), false},
 		{"large chunks", callersAddress, 300, 0, crowd.Chunks(callersHead, 1<<20, 32<<10), false},
 		{"small chunks", callersAddress, 300, 0, crowd.Chunks(callersHead, 256<<10, 16), false},
+		{"long bodies that hold a target", callersAddress, 20, 0, crowd.Chunks(callersHead+"Request-Timeout: 3600\r\n", 1<<20, 32<<10), false},
+		{"large answers that nobody reads", callersAddress, 20, smallBuffer, crowd.Repeat("GET /large HTTP/1.1\r\nHost: s\r\nRequest-Timeout: 3600\r\n\r\n", 1), false},
 		{"refusals that nobody reads", callersAddress, 300, smallBuffer, crowd.Repeat("GET / HTTP/1.1\r\nHost: unknown\r\n\r\n", 20_000), false},
 		{"behind waiting requests", callersAddress, 300, 0, crowd.Repeat("GET /wait HTTP/1.1\r\nHost: s\r\nX: "+strings.Repeat("x", 30<<10)+"\r\n\r\n", 100), true},
 	} {
--- a/core/config/model.go
+++ b/core/config/model.go
@@ -64,6 +64,7 @@
 	UrgentShare    int // percent of admissions for which urgent requests take precedence
 	RetryShare     int // percent of first attempts
 	SilenceTimeout time.Duration
+	CallerTimeout  time.Duration `json:",omitempty"` // in which a caller must send a part of its body or take a part of its answer
 }
 
 // Budget limits how many instances of a pool may be unavailable at once: Percent of them if it is above zero, else Count.
--- a/core/config/schema.go
+++ b/core/config/schema.go
@@ -201,6 +201,7 @@
 	percentField("UrgentShare", 50, "share of slots that urgent requests may take before others", func(s *Service) *int { return &s.UrgentShare }),
 	percentField("RetryShare", 10, "retries allowed for each hundred first attempts", func(s *Service) *int { return &s.RetryShare }),
 	durationField("SilenceTimeout", 2*time.Second, 50*time.Millisecond, time.Hour, "time without a byte after which a reused connection is suspected", func(s *Service) *time.Duration { return &s.SilenceTimeout }),
+	durationField("CallerTimeout", 10*time.Second, 100*time.Millisecond, time.Hour, "time in which a caller must send 4 KB of its body or take 32 KB of its answer", func(s *Service) *time.Duration { return &s.CallerTimeout }),
 }
 
 var poolFields = []field[Pool]{
--- a/io/proxy/exchange.go
+++ b/io/proxy/exchange.go
@@ -44,7 +44,11 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.meta.deadline)
 	defer cancel()
 	// The read deadline bounds a caller that sends slowly. The error of a connection without support for deadlines is ignored.
-	_ = http.NewResponseController(x.w).SetReadDeadline(x.meta.deadline)
+	controller := http.NewResponseController(x.w)
+	_ = controller.SetReadDeadline(x.meta.deadline)
+	_ = controller.SetWriteDeadline(time.Time{}) // of an earlier request
+	x.r = x.r.WithContext(x.r.Context())         // the server's own request keeps its body
+	x.r.Body = &pacedBody{ReadCloser: x.r.Body, controller: controller, deadline: x.meta.deadline, timeout: x.dispatcher.serviceConfig().CallerTimeout}
 	if x.needsClaim() && !x.claim(ctx) {
 		return
 	}
@@ -427,6 +431,7 @@
 	if status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", strconv.Itoa(x.retryAfterSeconds()))
 	}
+	x.allowWrite()
 	http.Error(x.w, fmt.Sprintf("Outcome=%s Reason=%s: %s", o, reason, text), status)
 }
 
--- a/io/proxy/response.go
+++ b/io/proxy/response.go
@@ -99,6 +99,7 @@
 		n, err := response.Body.Read(*buffer)
 		if n > 0 {
 			x.recorder.add((*buffer)[:n])
+			x.allowWrite()
 			if _, err := x.w.Write((*buffer)[:n]); err != nil {
 				return err
 			}
