Go on accepting links after descriptors ran out

It waits 100 ms and accepts again now, and logs the cause. TestLinksAfterDescriptorsRanOut hung before.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -77,6 +77,9 @@
 	e.proxy = proxy.New(e.self, s.Zone, e.mesh, e.control.reportEvent)
 	e.proxy.Limit(int(s.memory()/idPart/idBytes), s.memory()/answerPart)
 	e.mesh.Handler, e.mesh.Refuse = e.proxy.PeerHandler(), http.HandlerFunc(e.proxy.RefusePeer)
+	e.mesh.NotAccepted = func(cause error) {
+		e.control.reportEvent(event.Event{Kind: event.CallersGuarded, Detail: "Port=Peers NotAccepted: " + cause.Error()})
+	}
 	e.mesh.Requests = e.newGuard("Forwarded", s.limits().Forwarded())
 	e.mesh.HandleFrame = func(from peer.Identity, f *wire.Frame) { e.control.send(frameArrived{from, f}) }
 	e.mesh.LinkChanged = func(p peer.Identity, up bool) { e.control.send(peerChanged{p, up}) }
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -28,6 +28,7 @@
 	Guard       *guard.Guard                           // limits connections until their peers have proved who they are; nil for no limit
 	Requests    *guard.Guard                           // limits the requests that peers forward; nil for no limit
 	Refuse      http.Handler                           // answers those that Requests refuses
+	NotAccepted func(cause error)                      // called when a connection can't be accepted for now
 
 	mu      sync.Mutex
 	links   map[string]*link // by the peer's incarnation
@@ -36,7 +37,10 @@
 	dropped atomic.Uint64
 }
 
-const redialDelay = 300 * time.Millisecond
+const (
+	redialDelay      = 300 * time.Millisecond
+	acceptRetryDelay = 100 * time.Millisecond
+)
 
 // Serve accepts links and forwarded requests until ctx ends.
 func (m *Mesh) Serve(ctx context.Context, listener net.Listener) error {
@@ -60,8 +64,16 @@
 	group.Go(func() error {
 		for {
 			conn, err := listener.Accept()
-			if err != nil {
-				return ignoreClosed(err)
+			switch {
+			case errors.Is(err, net.ErrClosed) || ctx.Err() != nil:
+				return nil
+			case err != nil: // such as for want of descriptors, which others will return
+				m.NotAccepted(err)
+				select {
+				case <-ctx.Done():
+				case <-time.After(acceptRetryDelay):
+				}
+				continue
 			}
 			group.Go(func() error {
 				// An unresponsive peer in the handshake must not delay the shutdown.
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -34,6 +36,11 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
+	return newTestEntryAt(t, name, secret, l)
+}
+
+func newTestEntryAt(t *testing.T, name, secret string, l net.Listener) *testEntry {
+	t.Helper()
 	keys, err := TLSConfig("d", secret)
 	must.NoError(t, err)
 	n := &testEntry{address: l.Addr().(*net.TCPAddr).AddrPort(), frames: make(chan *wire.Frame, 16), up: make(chan Identity, 16)}
@@ -46,7 +53,8 @@
 				n.up <- p
 			}
 		},
-		Handler: http.NotFoundHandler(),
+		Handler:     http.NotFoundHandler(),
+		NotAccepted: func(error) {},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
@@ -98,6 +106,30 @@
 	must.SliceEmpty(t, b.mesh.Peers())
 }
 
+// fullListener can accept no connection for a while, as when no descriptor is left.
+type fullListener struct {
+	net.Listener
+	failures int
+}
+
+// Accept fails, or returns the next connection.
+func (l *fullListener) Accept() (net.Conn, error) {
+	if l.failures--; l.failures >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestLinksAfterDescriptorsRanOut guards against an entry that accepts no links any more once it had no descriptor for one.
+func TestLinksAfterDescriptorsRanOut(t *testing.T) {
+	a := newTestEntry(t, "a", deploymentSecret)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	b := newTestEntryAt(t, "b", deploymentSecret, &fullListener{l, 3})
+	keepConnected(t, a, b)
+	must.Eq(t, "b", (<-a.up).Sender.Name)
+}
+
 func TestShortSecretIsRefused(t *testing.T) {
 	_, err := TLSConfig("d", "short")
 	must.ErrorContains(t, err, "at least 16")
