--- a/cmd/daisysaddle/crowd_test.go
+++ b/cmd/daisysaddle/crowd_test.go
@@ -245,3 +245,35 @@
 	}
 	checkCrowd(t, portCrowd{"teams", callersAddress, 100, 0, run, true})
 }
+
+// TestLargestRequestIsServed checks that one request of the largest legal size of each kind is served in calm.
+func TestLargestRequestIsServed(t *testing.T) {
+	const head, body = 60 << 10, 64 << 20
+	p := startCrowdEntry(t)
+	for _, c := range []struct {
+		name string
+		run  crowd.Client
+		end  string // of the request
+	}{
+		{"many header lines", crowd.Send(crowd.ManyHeaderLines("GET / HTTP/1.1\r\nHost: s\r\nConnection: close\r\n", head)), "\r\n"},
+		{"a whole body", crowd.Body(callersHead+"Connection: close\r\nRequest-Timeout: 60\r\n", body, body), " "},
+		{"a body in chunks", crowd.Chunks(callersHead+"Connection: close\r\nRequest-Timeout: 60\r\n", body, 32<<10), "0\r\n\r\n"},
+		{"a body in small chunks", crowd.Chunks(callersHead+"Connection: close\r\nRequest-Timeout: 60\r\n", 4<<20, 16), "0\r\n\r\n"},
+		{"a large answer", crowd.Send("GET /large HTTP/1.1\r\nHost: s\r\nConnection: close\r\n"), "\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", callersAddress)
+			must.NoError(t, err)
+			defer conn.Close()
+			must.NoError(t, c.run(0, conn))
+			_, err = io.WriteString(conn, c.end)
+			must.NoError(t, err)
+			answer, err := io.ReadAll(conn)
+			must.NoError(t, err)
+			must.StrContains(t, string(answer[:min(len(answer), 100)]), "200 OK")
+			u, err := crowd.Measure(p.Pid)
+			must.NoError(t, err)
+			must.LessEq(t, int64(crowdMemoryMB<<20), u.Peak)
+		})
+	}
+}
