Leave the buffers of links between entries to the system

A link inherits the buffers of the port on which it was accepted: 5 KB for a process with 284 MB, which would have cost a frame of 64 KB thirteen round trips. Found by reading; connections there are few until their peers have proved who they are.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -73,7 +73,7 @@
 	identity := peer.Identity{Deployment: s.Deployment, Zone: s.Zone, Sender: e.self}
 	e.guarded = newGuardCounters()
 	e.control = newControl(e)
-	e.mesh = &peer.Mesh{Self: identity, TLSConfig: keys, Guard: e.newGuard("Peers", s.limits().Part(internalPart))}
+	e.mesh = &peer.Mesh{Self: identity, TLSConfig: keys, Guard: e.newGuard("Peers", s.limits().Unproved(internalPart))}
 	e.proxy = proxy.New(e.self, s.Zone, e.mesh, e.control.reportEvent)
 	e.proxy.Limit(int(s.memory()/idPart/idBytes), s.memory()/answerPart)
 	e.mesh.Handler, e.mesh.Refuse = e.proxy.PeerHandler(), http.HandlerFunc(e.proxy.RefusePeer)
--- a/io/guard/limits.go
+++ b/io/guard/limits.go
@@ -58,6 +58,14 @@
 	}
 }
 
+// Unproved returns one part in n of the limits, for connections whose peers have not proved who they are. The system's buffers are not limited,
+// since the connections carry links afterwards, which need all that they can get.
+func (l Limits) Unproved(n int) Limits {
+	p := l.Part(n)
+	p.Buffers = 0
+	return p
+}
+
 // Forwarded returns the limits of the requests that trusted processes forward. Their connections are not limited, since one that is closed may
 // carry a request whose outcome is then unknown.
 func (l Limits) Forwarded() Limits {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -341,7 +341,7 @@
 	mesh := &peer.Mesh{
 		Self: peer.Identity{Deployment: n.Deployment, Zone: n.Zone, Sender: sender, Cores: n.Cores, LinkMbps: n.LinkMbps}, TLSConfig: tlsConfig,
 		HandleFrame: n.receive, LinkChanged: n.peerChanged, Handler: n.peerHandler(),
-		Guard: n.newGuard("Peers", n.Limits.Part(internalPart)), Requests: n.newGuard("Forwarded", n.Limits.Forwarded()), Refuse: http.HandlerFunc(refuseForwarded),
+		Guard: n.newGuard("Peers", n.Limits.Unproved(internalPart)), Requests: n.newGuard("Forwarded", n.Limits.Forwarded()), Refuse: http.HandlerFunc(refuseForwarded),
 		NotAccepted: func(cause error) { n.logLimited("NotAccepted").Str("Port", "Peers").Err(cause).Send() },
 	}
 	n.mu.Lock()
