--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -15,7 +15,7 @@
 )
 
 func main() {
-	scenarios := map[string]func(*record, bool) (int, error){"burst": burst, "schedule": schedule}
+	scenarios := map[string]func(*record, bool) (int, error){"burst": burst, "schedule": schedule, "route": removedRoute, "cancel": lateCancel}
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand3 SCENARIO RECORD")
 		os.Exit(notRun)
--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -38,6 +38,9 @@
 	changed   chan struct{}
 	unlimited bool // takes values of any size
 	tooLarge  int  // changes that were refused for the size of a value
+	lostKey   string
+	lost      int // writes of lostKey that were left unanswered and carried out late
+	writes    int // changes since lostKey was set
 }
 
 // Limits of the platform's store.
@@ -233,6 +236,57 @@
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 		return
 	}
+	s.writes++
+	if s.lostKey != "" && t.sets(s.lostKey) {
+		s.lost++
+		time.AfterFunc(lateWrite, func() { s.applyLate(t) })
+		s.mu.Unlock()
+		<-r.Context().Done() // nothing further comes on this channel
+		s.mu.Lock()
+		return
+	}
+	status, body := s.apply(t)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	answer(w, body)
+}
+
+// sets reports whether the change writes a key.
+func (t transaction) sets(key string) bool {
+	return slices.ContainsFunc(t.SetKeys, func(k change) bool { return k.Key == key })
+}
+
+// loseWritesOf leaves the writes of a key unanswered from now on, and carries them out late.
+func (s *store) loseWritesOf(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lostKey = key
+	s.lost, s.writes = 0, 0
+}
+
+// answerAll ends that.
+func (s *store) answerAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lostKey = ""
+}
+
+// writeCounts returns the number of writes that were left unanswered, and that of all writes meanwhile.
+func (s *store) writeCounts() (lost, all int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost, s.writes
+}
+
+// applyLate carries a change out whose caller has gone.
+func (s *store) applyLate(t transaction) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(t)
+}
+
+// apply applies a change if its conditions hold, and returns the status and the body of the answer. The caller holds mu.
+func (s *store) apply(t transaction) (int, any) {
 	holds, current := true, []item{}
 	for _, p := range t.Precondition {
 		i, found := s.items[p.Key]
@@ -243,15 +297,11 @@
 	}
 	for _, k := range t.SetKeys {
 		if k.Lease != 0 && s.leases[k.Lease] == nil {
-			w.WriteHeader(http.StatusNotFound)
-			return
+			return http.StatusNotFound, map[string]any{}
 		}
 	}
 	if !holds {
-		w.Header().Set("Content-Type", "application/json")
-		w.WriteHeader(http.StatusPreconditionFailed)
-		answer(w, map[string]any{"items": current})
-		return
+		return http.StatusPreconditionFailed, map[string]any{"items": current}
 	}
 	s.revision++
 	for _, k := range t.SetKeys {
@@ -261,7 +311,7 @@
 		s.remove(k)
 	}
 	s.notify()
-	answer(w, map[string]uint64{"rev": s.revision})
+	return http.StatusOK, map[string]uint64{"rev": s.revision}
 }
 
 func (s *store) serveGrant(w http.ResponseWriter, r *http.Request) {
