--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -14,10 +14,16 @@
 	notRun = 2
 )
 
+// Whether a script brings its disruption about.
+const (
+	withTrouble    = "trouble"
+	withoutTrouble = "calm"
+)
+
 func main() {
 	scenarios := map[string]func(*record, bool) (int, error){"burst": burst, "schedule": schedule, "route": removedRoute, "cancel": lateCancel}
-	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand3 SCENARIO RECORD")
+	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil || os.Args[3] != withTrouble && os.Args[3] != withoutTrouble {
+		fmt.Fprintln(os.Stderr, "usage: stand3 SCENARIO RECORD "+withTrouble+"|"+withoutTrouble)
 		os.Exit(notRun)
 	}
 	log, err := newRecord(os.Args[2])
@@ -25,7 +31,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(notRun)
 	}
-	result, err := scenarios[os.Args[1]](log, os.Getenv("TROUBLE") != "0")
+	result, err := scenarios[os.Args[1]](log, os.Args[3] == withTrouble)
 	if err != nil {
 		log.line("could not run: %v", err)
 		result = notRun
