--- a/io/node/requests.go
+++ b/io/node/requests.go
@@ -324,6 +324,7 @@
 		return Verdict{Outcome: OutcomeNotRun, RetryAfter: n.storeRetryAfter(), Reason: "StoreUnanswered"}
 	}
 	if record.Revision == 0 {
+		n.logLimited("NoSuchJob").Str("Job", id).Bool("Unsettled", n.unsettled.has(n.Now(), id)).Send()
 		return Verdict{Outcome: OutcomeNoSuchJob}
 	}
 	if j := n.decodeStored(id, []store.Record{record}); !caller.mayUse(j.Account, j.Queue) {
