Store a tombstone before telling a caller that there is no job to cancel

Cause: a cancellation that found no job left nothing behind. Its absence proved only that no write had taken effect yet: the store carried the job's write out afterwards, on the condition that the id was new, and the owner took the job from the intake. No entry knows of all writes under way, so remembering them at an entry does not help when another entry cancels or one has ended.

Change: the entry stores a tombstone on the condition that no job is stored, and answers 410 once it is stored; if there is a job, it is cancelled. The owner, and each later one, ends a job that it adds under such an id. Tombstones are bound to leases that the store ends, count only for jobs that their caller may use, and are limited in number.

--- a/core/sched/invariant_test.go
+++ b/core/sched/invariant_test.go
@@ -15,6 +15,9 @@
 // shrinkNotice is the time from which a start must heed a capacity that has shrunk.
 const shrinkNotice = 4500 * time.Millisecond
 
+// cancelLimit is the time from which no task of a job starts whose cancellation was acknowledged.
+const cancelLimit = 3 * time.Second
+
 // checkStart checks that a start exceeds no worker's capacity, that the task does not run elsewhere, and that the steps
 // it depends on are done.
 func (w *simulation) checkStart(x *simWorker, s Start) {
--- a/core/sched/sim_test.go
+++ b/core/sched/sim_test.go
@@ -97,6 +97,8 @@
 	struck           map[TaskID]int                // number of workers that crashed under the task
 	acknowledged     map[TaskID]bool               // tasks of which an end as done was acknowledged
 	cancelled        map[string]bool               // jobs whose cancellation is stored
+	cancelledAt      map[string]time.Time          // by id, when the first cancellation was acknowledged
+	buried           map[string]bool               // ids with a tombstone
 	readDelay        func(id string) time.Duration // until a new owner has read a job; nil if it begins with all jobs
 	lastIncarnation  int
 	config           Config
@@ -149,7 +151,7 @@
 	w := &simulation{
 		t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, simStream)),
 		jobs: make(map[string]Job), stored: make(map[string]Progress), waves: make(map[int64]WaveStatus), roster: make(map[string]Worker), byID: make(map[string]*simWorker),
-		done: make(map[TaskID]time.Time), starts: make(map[TaskID]int), lastStart: make(map[TaskID]time.Time), doneRuns: make(map[taskRun]time.Time), deadly: make(map[TaskID]time.Duration), failures: make(map[TaskID]int), finalBy: make(map[string]uint64), finalAt: make(map[string]time.Time), crashes: make(map[TaskID]int), lateStarts: make(map[TaskID]int), unavailableUntil: make(map[string]time.Time), pools: make(map[string]string), tokens: make(map[string]uint64), maintained: make(map[string]int64), lostAt: make(map[TaskID]time.Time), struck: make(map[TaskID]int), acknowledged: make(map[TaskID]bool), cancelled: make(map[string]bool), maxDown: make(map[int64]int), maintenanceEnd: make(map[string]time.Time),
+		done: make(map[TaskID]time.Time), starts: make(map[TaskID]int), lastStart: make(map[TaskID]time.Time), doneRuns: make(map[taskRun]time.Time), deadly: make(map[TaskID]time.Duration), failures: make(map[TaskID]int), finalBy: make(map[string]uint64), finalAt: make(map[string]time.Time), crashes: make(map[TaskID]int), lateStarts: make(map[TaskID]int), unavailableUntil: make(map[string]time.Time), pools: make(map[string]string), tokens: make(map[string]uint64), maintained: make(map[string]int64), lostAt: make(map[TaskID]time.Time), struck: make(map[TaskID]int), acknowledged: make(map[TaskID]bool), cancelled: make(map[string]bool), cancelledAt: make(map[string]time.Time), buried: make(map[string]bool), maxDown: make(map[int64]int), maintenanceEnd: make(map[string]time.Time),
 		settings: simSettings,
 		config:   Config{Version: 1, Queues: make(map[string]Queue), Pools: map[string]Pool{"spare": {Name: "spare", Spare: true}}},
 	}
@@ -246,6 +248,9 @@
 			o.state.CancelStored(w.now, id)
 		}
 	}
+	for _, id := range sortedKeys(w.buried) {
+		o.state.CancelUnstored(w.now, id, Caller{})
+	}
 	for _, s := range w.waves {
 		o.state.RestoreWave(s)
 	}
@@ -283,6 +288,29 @@
 	w.owner.state.CancelStored(w.now, id)
 }
 
+// intakeDelay is the time until the owner learns of what entries store.
+const intakeDelay = 250 * time.Millisecond
+
+// storeLate stores a job that an entry accepted without the owner, which learns of it from the intake.
+func (w *simulation) storeLate(j Job) {
+	j.Accepted = w.now
+	w.jobs[j.ID] = j
+	w.schedule(intakeDelay, func() { w.owner.state.Announce(j.ID) })
+}
+
+// cancelAny acknowledges the cancellation of an id, after it has stored that of the job or a tombstone.
+func (w *simulation) cancelAny(id string) {
+	if _, again := w.cancelledAt[id]; !again {
+		w.cancelledAt[id] = w.now
+	}
+	if _, stored := w.jobs[id]; stored {
+		w.schedule(intakeDelay, func() { w.cancel(id) })
+		return
+	}
+	w.buried[id] = true
+	w.schedule(intakeDelay, func() { w.owner.state.CancelUnstored(w.now, id, Caller{}) })
+}
+
 // schedule schedules a call.
 func (w *simulation) schedule(d time.Duration, f func()) {
 	w.events = append(w.events, event{w.now.Add(d), f})
@@ -363,6 +391,9 @@
 		if o == w.owner && w.cancelled[s.Task.Job] {
 			w.violated("%s is started after the cancellation of its job", s.Task)
 		}
+		if at, is := w.cancelledAt[s.Task.Job]; is && o == w.owner && w.now.Sub(at) > cancelLimit {
+			w.violated("%s is started %s after the cancellation of its job was acknowledged", s.Task, w.now.Sub(at))
+		}
 		if step, attempts := w.jobs[s.Task.Job].Steps[s.Task.Step], w.config.Queues[w.jobs[s.Task.Job].Queue].Attempts; attempts > 0 && !step.Gang && !step.LongRunning && w.failures[s.Task] >= attempts {
 			w.violated("%s is started after %d failed runs", s.Task, w.failures[s.Task])
 		}
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -41,6 +41,7 @@
 	began           time.Time                // when this owner began
 	isolating       bool                     // the last placement had suspects
 	announced       map[string]*announcement // jobs whose records have not been read or found, by id
+	tombstones      map[string][]tombstone   // of ids under which no job was stored, one for each caller, by id
 	jobReads        []string                 // ids of those whose reading no plan has ordered
 	demands         map[string]*poolDemand   // demand of each pool
 	moves           map[string]*move         // by machine
@@ -190,7 +191,7 @@
 		token: token, settings: settings, caps: newAccountCaps(), shares: make(map[string]*poolShares),
 		jobs: make(map[string]*job), queues: make(map[string]*queue), advisor: advisor{requests: make(map[TaskID]adviceRequest), queues: make(map[string]*queuePermits)}, queuePools: queuePools{pools: make(map[string]map[string]recordedPool), restored: make(map[string]bool)}, workers: make(map[string]*worker), departed: make(map[string]departure),
 		waves: make(map[int64]*wave), storedWaves: make(map[int64]WaveStatus), machines: make(map[string]Machine), dirty: make(map[string]*job),
-		demands: make(map[string]*poolDemand), moves: make(map[string]*move), executedOrders: make(map[string]executedOrder), runStats: make(map[string]*queueStats), copyOdds: make(map[oddsKey]*copyOdds), refusedMoves: make(map[moveTarget]bool), scheduled: make(map[string]*job), longRunningJobs: make(map[string]*job), suspectJobs: make(map[string]*job), silent: make(map[string]*silentWorker), began: now, unmanned: make(map[string]unmanned), zoneRooms: make(map[string]zoneRoom), announced: make(map[string]*announcement), promisedRoom: make(map[string]Size),
+		demands: make(map[string]*poolDemand), moves: make(map[string]*move), executedOrders: make(map[string]executedOrder), runStats: make(map[string]*queueStats), copyOdds: make(map[oddsKey]*copyOdds), refusedMoves: make(map[moveTarget]bool), scheduled: make(map[string]*job), longRunningJobs: make(map[string]*job), suspectJobs: make(map[string]*job), silent: make(map[string]*silentWorker), began: now, unmanned: make(map[string]unmanned), zoneRooms: make(map[string]zoneRoom), announced: make(map[string]*announcement), tombstones: make(map[string][]tombstone), promisedRoom: make(map[string]Size),
 		predecessorEnd: predecessorEnd, predecessorRunsEnd: predecessorRunsEnd, unseenRunsEnd: predecessorRunsEnd,
 	}
 }
@@ -269,6 +270,7 @@
 	}
 	s.recordArrival(now, j)
 	s.endAnnouncement(now, j)
+	s.applyTombstones(now, j)
 }
 
 // longRunning reports whether a step of the job runs until the job is cancelled.
@@ -622,9 +624,10 @@
 	return size
 }
 
-// Forget removes the jobs that ended more than Settings.KeepEnded ago and returns their ids in order.
+// Forget removes the jobs that ended more than Settings.KeepEnded ago and returns their ids in order. It also removes expired tombstones.
 func (s *State) Forget(now time.Time) []string {
 	maps.DeleteFunc(s.announced, func(_ string, a *announcement) bool { return a.absent })
+	s.expireTombstones(now)
 	var gone []string
 	for id, j := range s.jobs {
 		if j.visibleState.Final() && now.Sub(j.endedAt) > s.settings.KeepEnded {
--- a/io/node/accounts.go
+++ b/io/node/accounts.go
@@ -38,17 +38,8 @@
 	return name, known
 }
 
-// Caller is what a request is made with: the account of its key, empty without one, and the queue of its route.
-type Caller struct {
-	Account string
-	Queue   string
-}
-
-// mayUse reports whether the caller may use the jobs of an account in a queue. Jobs without an account are anybody's. A caller
-// without an account comes by a public route and may use all jobs of its queue, also those from before the route was public.
-func (c Caller) mayUse(account, queue string) bool {
-	return account == "" || account == c.Account || c.Account == "" && c.Queue == queue
-}
+// Caller is what a request is made with.
+type Caller = sched.Caller
 
 // submitter returns the caller that submits the job.
 func submitter(j sched.Job) Caller { return Caller{Account: j.Account, Queue: j.Queue} }
--- a/io/node/accounts_test.go
+++ b/io/node/accounts_test.go
@@ -65,12 +65,14 @@
 					must.Eq(t, OutcomeTaken, m.Submit(t.Context(), jobOf("two", id)).Outcome)
 					must.Eq(t, reasonKnown, m.Submit(t.Context(), jobOf("one", id)).Reason)
 					must.Eq(t, reasonKnown, m.Submit(t.Context(), jobOf("", id)).Reason) // the queue has become public
-					must.Eq(t, OutcomeNoSuchJob, m.State(t.Context(), Caller{"two", "q"}, id).Outcome)
-					must.Eq(t, OutcomeNoSuchJob, m.State(t.Context(), Caller{"", "other"}, id).Outcome)
-					must.Eq(t, OutcomeNoSuchJob, m.Cancel(t.Context(), Caller{"two", "q"}, id).Outcome)
-					must.Eq(t, OutcomeDone, m.State(t.Context(), Caller{"one", "other"}, id).Outcome)
+					must.Eq(t, OutcomeNoSuchJob, m.State(t.Context(), Caller{Account: "two", Queue: "q"}, id).Outcome)
+					must.Eq(t, OutcomeNoSuchJob, m.State(t.Context(), Caller{Account: "", Queue: "other"}, id).Outcome)
+					must.Eq(t, OutcomeNoSuchJob, m.Cancel(t.Context(), Caller{Account: "two", Queue: "q"}, id).Outcome)
+					must.Eq(t, OutcomeDone, m.State(t.Context(), Caller{Account: "one", Queue: "other"}, id).Outcome)
 				}
-				c.await(id+" is completed", func() bool { return n.State(t.Context(), Caller{"one", "q"}, id).State == sched.Completed })
+				c.await(id+" is completed", func() bool {
+					return n.State(t.Context(), Caller{Account: "one", Queue: "q"}, id).State == sched.Completed
+				})
 				must.Eq(t, 3, c.fleet.count(id))
 			}
 			must.Eq(t, OutcomeDone, c.nodes[0].Submit(t.Context(), jobOf("", "c")).Outcome)
--- a/io/node/elect.go
+++ b/io/node/elect.go
@@ -20,7 +20,7 @@
 	keySecret    = "daisysaddle/secret"
 	keyJobs      = "daisysaddle/jobs/"     // accepted jobs, written once
 	keyIntake    = "daisysaddle/intake/"   // ids of accepted jobs, where the owner finds those that other entries accepted
-	keyCancel    = "daisysaddle/intake/x/" // cancellations that an entry stored without the owner
+	keyCancel    = "daisysaddle/intake/x/" // cancellations that an entry stored without the owner, by id, and tombstones below the ids
 	keyProgress  = "daisysaddle/progress/" // progress of jobs, written by the owner only
 	keyRoster    = "daisysaddle/roster/"   // workers on which runs may exist
 	keyWaves     = "daisysaddle/waves/"    // progress of maintenance waves
--- a/io/node/fake_test.go
+++ b/io/node/fake_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -233,6 +234,32 @@
 	renewDelay  time.Duration // answers to renewals take this long
 	silent      bool          // calls get no answer and have no effect
 	jobDelay    time.Duration // reads of job records take this long
+	// lateBy returns how long after its call a write takes effect whose call gets no answer; zero for a write that is answered. Nil for none.
+	lateBy func(store.Change) time.Duration
+	late   sync.WaitGroup
+	calls  func(key string) // called with each key that is read or put; nil for none
+}
+
+func (f *faultyBackend) setCalls(calls func(key string)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = calls
+}
+
+func (f *faultyBackend) setLate(lateBy func(store.Change) time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lateBy = lateBy
+}
+
+// lateWritesOf makes the writes of a key take effect late and without an answer.
+func lateWritesOf(key string, late time.Duration) func(store.Change) time.Duration {
+	return func(c store.Change) time.Duration {
+		if slices.ContainsFunc(c.Puts, func(r store.Record) bool { return strings.HasPrefix(r.Key, key) }) {
+			return late
+		}
+		return 0
+	}
 }
 
 func (f *faultyBackend) setJobDelay(jobDelay time.Duration) {
@@ -265,6 +292,9 @@
 	}
 	f.mu.Lock()
 	jobDelay := f.jobDelay
+	if f.calls != nil {
+		f.calls(key)
+	}
 	f.mu.Unlock()
 	if strings.HasPrefix(key, keyJobs) {
 		time.Sleep(jobDelay)
@@ -307,8 +337,22 @@
 		return 0, nil, err
 	}
 	f.mu.Lock()
-	writeDelay, loseAnswers := f.writeDelay, f.loseAnswers
+	writeDelay, loseAnswers, late := f.writeDelay, f.loseAnswers, time.Duration(0)
+	if f.lateBy != nil {
+		late = f.lateBy(c)
+	}
+	if f.calls != nil && len(c.Puts) > 0 {
+		f.calls(c.Puts[0].Key)
+	}
 	f.mu.Unlock()
+	if late > 0 {
+		f.late.Go(func() {
+			time.Sleep(late)
+			_, _, _ = f.Platform.Commit(context.WithoutCancel(ctx), c) // nobody waits for the answer
+		})
+		<-ctx.Done()
+		return 0, nil, errors.Mark(ctx.Err(), store.ErrUnavailable)
+	}
 	time.Sleep(writeDelay)
 	revision, current, err := f.Platform.Commit(context.WithoutCancel(ctx), c)
 	if loseAnswers && err == nil {
@@ -385,6 +429,9 @@
 		}
 		must.NoError(t, c.group.Wait())
 		must.NoError(t, c.fleet.late.Wait())
+		for _, b := range backends {
+			b.late.Wait()
+		}
 	})
 	return c, backends
 }
--- a/io/node/intake.go
+++ b/io/node/intake.go
@@ -92,15 +92,28 @@
 // applyIntake announces the jobs of the intake to the state and applies its cancellations. All jobs are announced first, because a
 // cancellation may precede its job in the list. It needs no further reads, which would delay the cancellations.
 func (c *control) applyIntake(now time.Time, intake []store.Record) {
-	var cancels []string
+	var cancels []store.Record
 	for _, r := range intake {
-		if id, is := strings.CutPrefix(r.Key, keyCancel); is {
-			cancels = append(cancels, id)
+		if strings.HasPrefix(r.Key, keyCancel) {
+			cancels = append(cancels, r)
 			continue
 		}
 		c.state.Announce(strings.TrimPrefix(r.Key, keyIntake))
 	}
-	for _, id := range cancels {
+	for _, r := range cancels {
+		c.applyCancel(now, r)
+	}
+}
+
+// applyCancel applies a stored cancellation: one of a stored job, or a tombstone.
+func (c *control) applyCancel(now time.Time, r store.Record) {
+	id, caller, isTombstone, err := decodeTombstone(r)
+	switch {
+	case err != nil:
+		c.node.log("RecordSkipped").Str("Key", r.Key).Err(err).Send()
+	case isTombstone:
+		c.state.CancelUnstored(now, id, caller)
+	default:
 		c.state.CancelStored(now, id)
 	}
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -121,6 +121,7 @@
 	ownerUnresponsive atomic.Bool    // the last request to the owner failed, or the owner could not use the store
 	acceptBatcher     *store.Batcher // writes accepted jobs
 	unsettled         unsettledIDs   // ids of jobs whose write is unsettled
+	tombstones        tombstones     // writes the cancellations of ids that have no job
 	ownerReach        reach          // whether the owner answers
 	storeReach        reach          // whether the store answers
 	destinations      destinations   // the workers to which it sends orders
@@ -156,6 +157,8 @@
 		waves: make(map[int64]sched.Wave), accepting: make(map[string]*acceptance), guardLogged: make(map[[2]string]*rate.Sometimes),
 		acceptBatcher: &store.Batcher{Client: p.Store, MinInterval: acceptBatchDelay, RetryTimeout: acceptTimeout},
 	}
+	n.tombstones.node = n
+	n.tombstones.batcher = &store.Batcher{Client: p.Store, MinInterval: acceptBatchDelay, RetryTimeout: tombstoneTimeout}
 	n.started = p.Now()
 	n.ownerReach.silentAfter, n.storeReach.silentAfter = ownerSilentAfter, storeSilentAfter
 	n.carrier.node = n
--- a/io/node/requests.go
+++ b/io/node/requests.go
@@ -68,7 +68,7 @@
 	v := a.verdict
 	switch {
 	case v.Outcome != OutcomeDone && v.Outcome != OutcomeTaken:
-	case !submitter(j).mayUse(a.stored.Account, a.stored.Queue):
+	case !submitter(j).MayUse(a.stored.Account, a.stored.Queue):
 		return verdictTaken
 	case a.stored.Account != j.Account || v.Outcome == OutcomeTaken:
 		v.Outcome, v.State, v.Reason = OutcomeDone, sched.Pending, reasonKnown
@@ -223,7 +223,7 @@
 	case s.Outcome == store.Conflicted && len(s.Current) > 0:
 		v.Reason = reasonKnown // the id was accepted before and stays a single job
 		stored = n.decodeStored(j.ID, s.Current)
-		if !submitter(j).mayUse(stored.Account, stored.Queue) {
+		if !submitter(j).MayUse(stored.Account, stored.Queue) {
 			v = verdictTaken
 		}
 	case s.MaybeApplied:
@@ -289,13 +289,14 @@
 	case record.Revision == 0:
 		return Verdict{Outcome: OutcomeNoSuchJob}
 	}
-	if j := n.decodeStored(id, []store.Record{record}); !caller.mayUse(j.Account, j.Queue) {
+	if j := n.decodeStored(id, []store.Record{record}); !caller.MayUse(j.Account, j.Queue) {
 		return verdictHidden
 	}
 	return Verdict{Outcome: OutcomeDone, State: sched.Pending}
 }
 
-// Cancel ends a caller's job; OutcomeDone means that the cancellation is durable.
+// Cancel ends a caller's job; OutcomeDone means that the cancellation is durable. OutcomeNoSuchJob means that no job is stored under
+// the id, and that one that is stored later does not run.
 func (n *Node) Cancel(ctx context.Context, caller Caller, id string) Verdict {
 	v := Verdict{Outcome: OutcomeNoSuchJob}
 	err := errNoOwner
@@ -304,34 +305,46 @@
 	} else {
 		v, err = n.askOwner(ctx, "DELETE", jobPath(caller, id), nil)
 	}
-	if err == nil && (v.Outcome == OutcomeDone || v == verdictHidden) {
+	if err == nil && (v.Outcome == OutcomeDone || v == verdictHidden || v.Reason == reasonTombstones) {
 		return v
 	}
 	sent := err == nil && v.Outcome == OutcomeUnknown || err != nil && !errors.Is(err, errNotSent)
-	v = n.storeCancel(ctx, caller, id)
+	v = n.storeCancel(ctx, caller, id, err == nil && v.Outcome == OutcomeNoSuchJob)
 	if sent && v.Outcome == OutcomeNotRun {
 		v.Outcome = OutcomeUnknown // the owner may have cancelled the job
 	}
 	return v
 }
 
-// storeCancel stores a cancellation, which the owner reads from the intake.
-func (n *Node) storeCancel(ctx context.Context, caller Caller, id string) Verdict {
+// storeCancel stores a cancellation, which the owner reads from the intake: that of the job that is stored under the id, or a
+// tombstone. If the owner knows no such job, it writes the tombstone without looking for the job first.
+func (n *Node) storeCancel(ctx context.Context, caller Caller, id string, unknown bool) Verdict {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	record, err := n.Store.Get(ctx, keyJobs+id, store.Critical)
-	if err != nil {
-		return Verdict{Outcome: OutcomeNotRun, RetryAfter: n.storeRetryAfter(), Reason: "StoreUnanswered"}
+	var job store.Record
+	if !unknown {
+		var err error
+		if job, err = n.Store.Get(ctx, keyJobs+id, store.Critical); err != nil {
+			return Verdict{Outcome: OutcomeNotRun, RetryAfter: n.storeRetryAfter(), Reason: "StoreUnanswered"}
+		}
 	}
-	if record.Revision == 0 {
-		n.logLimited("NoSuchJob").Str("Job", id).Bool("Unsettled", n.unsettled.has(n.Now(), id)).Send()
-		return Verdict{Outcome: OutcomeNoSuchJob}
+	for job.Revision == 0 {
+		var v Verdict
+		if v, job = n.buryID(ctx, caller, id); job.Revision == 0 {
+			return v
+		}
 	}
-	if j := n.decodeStored(id, []store.Record{record}); !caller.mayUse(j.Account, j.Queue) {
+	return n.cancelStored(ctx, caller, job)
+}
+
+// cancelStored stores the cancellation of a stored job.
+func (n *Node) cancelStored(ctx context.Context, caller Caller, job store.Record) Verdict {
+	id := strings.TrimPrefix(job.Key, keyJobs)
+	if j := n.decodeStored(id, []store.Record{job}); !caller.MayUse(j.Account, j.Queue) {
 		return verdictHidden
 	}
 	change := store.Change{
-		Conditions: []store.Condition{{Key: keyJobs + id, Revision: record.Revision}, {Key: keyCancel + id}},
+		Conditions: []store.Condition{{Key: job.Key, Revision: job.Revision}, {Key: keyCancel + id}},
 		Puts:       []store.Record{{Key: keyCancel + id, Value: []byte(`{}`)}},
 	}
 	s, err := n.Store.Commit(ctx, change)
@@ -420,7 +433,7 @@
 // OutcomeTaken that it is known as that of another account's job.
 func (c *control) checkRoom(now time.Time, j sched.Job) Verdict {
 	if account, queue, known := c.state.JobOwner(j.ID); known {
-		if !submitter(j).mayUse(account, queue) {
+		if !submitter(j).MayUse(account, queue) {
 			return verdictTaken
 		}
 		return Verdict{Outcome: OutcomeDone, Reason: reasonKnown}
@@ -532,7 +545,7 @@
 // hides reports whether a job is another account's.
 func (c *control) hides(caller Caller, id string) bool {
 	account, queue, known := c.state.JobOwner(id)
-	return known && !caller.mayUse(account, queue)
+	return known && !caller.MayUse(account, queue)
 }
 
 // cancel ends a job and waits until the cancellation is durable.
@@ -542,7 +555,11 @@
 		if c.hides(caller, id) {
 			return verdictHidden
 		}
-		if !c.state.Cancel(now, id) {
+		switch {
+		case c.state.Cancel(now, id):
+		case c.state.Tombstones() >= maxTombstones:
+			return Verdict{Outcome: OutcomeNotRun, RetryAfter: maxRetryAfter, Reason: reasonTombstones}
+		default:
 			return Verdict{Outcome: OutcomeNoSuchJob}
 		}
 		c.state.WhenFinal(id, func(state sched.JobState) { done <- Verdict{Outcome: OutcomeDone, State: state} })
--- a/io/node/unsettled.go
+++ b/io/node/unsettled.go
@@ -24,7 +24,10 @@
 // One case is not proven: an entry that reaches neither the owner nor the store cannot know of an attempt at another entry
 // that has since become unreachable. It refuses nevertheless, because a caller must not repeat a request of unknown
 // outcome, and almost every request to an isolated entry is a first attempt: when a zone was cut off, the opposite choice
-// left 784 callers of 4907 jobs without a second attempt. An entry that reaches the store always answers correctly.
+// left 784 callers of 4907 jobs without a second attempt.
+//
+// Nor does an entry know of an attempt that another entry has stored without the owner, or under an earlier owner, and whose write is
+// unsettled there. It may refuse a further attempt, and the job runs if the write is applied (TestRefusalWhileAnotherEntryIsUnsettled).
 
 // unsettledIDs holds the ids whose acceptance is unsettled, for a limited time; it is safe for concurrent use.
 type unsettledIDs struct {
--- a/io/node/unsettled_test.go
+++ b/io/node/unsettled_test.go
@@ -106,3 +106,13 @@
 		}
 	}
 }
+
+// TestRefusalWhileAnotherEntryIsUnsettled: an entry without room must not refuse an attempt of a job whose write another entry has sent and
+// the store has not answered.
+func TestRefusalWhileAnotherEntryIsUnsettled(t *testing.T) {
+	c, backends := newCluster(t, 2, 0)
+	c.await("the entries are linked", func() bool { return c.linked(1) })
+	backends[1].setLate(lateWritesOf(keyJobs+"j", lateWrite))
+	must.Eq(t, OutcomeUnknown, c.nodes[1].accept(t.Context(), job("j", 2)).Outcome) // as when the owner is out of reach
+	must.NotEq(t, OutcomeNotRun, c.nodes[0].RefuseUnread("j").Outcome)
+}
