Don't take a removed job for a cancelled one

A caller whose cancellation met the removal of the job's record (its retention ended in between) was answered 200 and cancelled, although nothing was cancelled and no job is there.

Cause: each conflict of the cancellation's write was taken for an earlier cancellation. The write has two conditions, and the record of the job is the other one. The conflict's records tell them apart: a cancellation is there, or the job is not, and then a tombstone is stored as for any id without a job.

--- a/io/node/requests.go
+++ b/io/node/requests.go
@@ -328,32 +328,39 @@
 			return Verdict{Outcome: OutcomeNotRun, RetryAfter: n.storeRetryAfter(), Reason: "StoreUnanswered"}
 		}
 	}
-	for job.Revision == 0 {
+	for {
 		var v Verdict
-		if v, job = n.buryID(ctx, caller, id); job.Revision == 0 {
+		found := job.Revision > 0
+		if found {
+			v, job = n.cancelStored(ctx, caller, job)
+		} else {
+			v, job = n.buryID(ctx, caller, id)
+		}
+		if found == (job.Revision > 0) {
 			return v
 		}
 	}
-	return n.cancelStored(ctx, caller, job)
 }
 
-// cancelStored stores the cancellation of a stored job.
-func (n *Node) cancelStored(ctx context.Context, caller Caller, job store.Record) Verdict {
+// cancelStored stores the cancellation of a stored job. If the job has been removed meanwhile, it returns an empty record.
+func (n *Node) cancelStored(ctx context.Context, caller Caller, job store.Record) (Verdict, store.Record) {
 	id := strings.TrimPrefix(job.Key, keyJobs)
 	if j := n.decodeStored(id, []store.Record{job}); !caller.MayUse(j.Account, j.Queue) {
-		return verdictHidden
+		return verdictHidden, job
 	}
 	change := store.Change{
 		Conditions: []store.Condition{{Key: job.Key, Revision: job.Revision}, {Key: keyCancel + id}},
 		Puts:       []store.Record{{Key: keyCancel + id, Value: []byte(`{}`)}},
 	}
 	s, err := n.Store.Commit(ctx, change)
-	known := s.Outcome == store.Conflicted && len(s.Current) > 0
 	n.logLimited("Cancel").Str("Job", id).Str("Outcome", string(s.Outcome)).AnErr("Cause", err).Send()
-	if s.Outcome == store.Applied || known {
-		return Verdict{Outcome: OutcomeDone, State: sched.Cancelled}
+	switch conflict := s.Outcome == store.Conflicted && len(s.Current) > 0; {
+	case s.Outcome == store.Applied || conflict && recordOf(s.Current, keyCancel+id).Revision > 0:
+		return Verdict{Outcome: OutcomeDone, State: sched.Cancelled}, job
+	case conflict && recordOf(s.Current, job.Key).Revision == 0:
+		return Verdict{}, store.Record{}
 	}
-	return Verdict{Outcome: OutcomeUnknown, Reason: "StoreUnanswered"}
+	return Verdict{Outcome: OutcomeUnknown, Reason: "StoreUnanswered"}, job
 }
 
 // Waiting returns the number of waiting jobs of a queue.
--- a/io/node/tombstone_test.go
+++ b/io/node/tombstone_test.go
@@ -313,3 +313,20 @@
 		})
 	}
 }
+
+// TestCancelOfARemovedJob guards against the answer that a job is cancelled when its record was removed before the cancellation was stored.
+func TestCancelOfARemovedJob(t *testing.T) {
+	p := &stand.Platform{Unlimited: true}
+	b := &faultyBackend{Platform: p}
+	n := New(Settings{}, Dependencies{Store: store.NewClient(b), Dialect: fakeDialect{}, Now: SteadyClock()})
+	must.Eq(t, OutcomeDone, n.Submit(t.Context(), job("j", 1)).Outcome)
+	b.setLate(func(c store.Change) time.Duration {
+		if c.Puts[0].Key == keyCancel+"j" {
+			_, _, err := p.Commit(t.Context(), store.Change{Deletes: []string{keyJobs + "j", keyIntake + "j"}})
+			must.NoError(t, err)
+		}
+		return 0
+	})
+	must.Eq(t, OutcomeNoSuchJob, n.Cancel(t.Context(), Caller{}, "j").Outcome)
+	must.Len(t, 1, p.Records(keyCancel+"j/"))
+}
