Cancel a stored job also when no more tombstones are taken

Found on reading the change again: an entry or an owner at its limit of tombstones refused to cancel an accepted job that the owner had not read yet (503), as it refused the tombstone before anything told that there is a job.

At the limit the entry looks for the job first, and refuses only what would be a tombstone. TestTombstonesAreBounded checks it for both limits; the refusal came before any look at the job.

--- a/io/node/requests.go
+++ b/io/node/requests.go
@@ -305,24 +305,41 @@
 	} else {
 		v, err = n.askOwner(ctx, "DELETE", jobPath(caller, id), nil)
 	}
-	if err == nil && (v.Outcome == OutcomeDone || v == verdictHidden || v.Reason == reasonTombstones) {
+	if err == nil && (v.Outcome == OutcomeDone || v == verdictHidden) {
 		return v
 	}
 	sent := err == nil && v.Outcome == OutcomeUnknown || err != nil && !errors.Is(err, errNotSent)
-	v = n.storeCancel(ctx, caller, id, err == nil && v.Outcome == OutcomeNoSuchJob)
+	view := viewNone
+	switch {
+	case err == nil && v.Reason == reasonTombstones:
+		view = viewFull
+	case err == nil && v.Outcome == OutcomeNoSuchJob:
+		view = viewUnknown
+	}
+	v = n.storeCancel(ctx, caller, id, view)
 	if sent && v.Outcome == OutcomeNotRun {
 		v.Outcome = OutcomeUnknown // the owner may have cancelled the job
 	}
 	return v
 }
 
+// ownerView is what the owner says of the id of a job that is to be cancelled.
+type ownerView string
+
+// Views of an owner.
+const (
+	viewNone    ownerView = "None"    // it was not asked or did not answer
+	viewUnknown ownerView = "Unknown" // it knows no such job, which may be stored all the same
+	viewFull    ownerView = "Full"    // the same, and it takes no more tombstones
+)
+
 // storeCancel stores a cancellation, which the owner reads from the intake: that of the job that is stored under the id, or a
 // tombstone. If the owner knows no such job, it writes the tombstone without looking for the job first.
-func (n *Node) storeCancel(ctx context.Context, caller Caller, id string, unknown bool) Verdict {
+func (n *Node) storeCancel(ctx context.Context, caller Caller, id string, view ownerView) Verdict {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	var job store.Record
-	if !unknown {
+	if view != viewUnknown || n.tombstones.full(n.Now()) {
 		var err error
 		if job, err = n.Store.Get(ctx, keyJobs+id, store.Critical); err != nil {
 			return Verdict{Outcome: OutcomeNotRun, RetryAfter: n.storeRetryAfter(), Reason: "StoreUnanswered"}
@@ -331,9 +348,12 @@
 	for {
 		var v Verdict
 		found := job.Revision > 0
-		if found {
+		switch {
+		case found:
 			v, job = n.cancelStored(ctx, caller, job)
-		} else {
+		case view == viewFull:
+			return verdictTombstones
+		default:
 			v, job = n.buryID(ctx, caller, id)
 		}
 		if found == (job.Revision > 0) {
@@ -565,7 +585,7 @@
 		switch {
 		case c.state.Cancel(now, id):
 		case c.state.Tombstones() >= maxTombstones:
-			return Verdict{Outcome: OutcomeNotRun, RetryAfter: maxRetryAfter, Reason: reasonTombstones}
+			return verdictTombstones
 		default:
 			return Verdict{Outcome: OutcomeNoSuchJob}
 		}
--- a/io/node/tombstone.go
+++ b/io/node/tombstone.go
@@ -35,6 +35,9 @@
 // reasonTombstones is the reason of a cancellation that is refused because too many ids have tombstones.
 const reasonTombstones = "TooManyTombstones"
 
+// verdictTombstones is the verdict on such a cancellation.
+var verdictTombstones = Verdict{Outcome: OutcomeNotRun, RetryAfter: maxRetryAfter, Reason: reasonTombstones}
+
 var errTombstones = errors.New("too many tombstones were written under this lease")
 
 // tombstones writes tombstones; it is safe for concurrent use.
@@ -80,7 +83,7 @@
 	case s.MaybeApplied:
 		v = Verdict{Outcome: OutcomeUnknown, Reason: "StoreUnanswered"}
 	case errors.Is(err, errTombstones):
-		v = Verdict{Outcome: OutcomeNotRun, RetryAfter: maxRetryAfter, Reason: reasonTombstones}
+		v = verdictTombstones
 	default:
 		v = Verdict{Outcome: OutcomeNotRun, RetryAfter: n.storeRetryAfter(), Reason: "StoreRefused"}
 	}
@@ -146,12 +149,24 @@
 	}
 }
 
+// full reports whether a tombstone would be refused.
+func (t *tombstones) full(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.used >= maxEntryTombstones && !t.mustGrant(now)
+}
+
+// mustGrant reports whether the next tombstone needs a new lease. The caller holds mu.
+func (t *tombstones) mustGrant(now time.Time) bool {
+	return t.lease == "" || now.Sub(t.granted) > t.node.Bounds.TombstoneLife()/2
+}
+
 // presentLease returns the lease that new tombstones are bound to, or none if another one must be granted.
 func (t *tombstones) presentLease(now time.Time) (string, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
-	case t.lease == "" || now.Sub(t.granted) > t.node.Bounds.TombstoneLife()/2:
+	case t.mustGrant(now):
 		return "", nil
 	case t.used >= maxEntryTombstones:
 		return "", errTombstones
--- a/io/node/tombstone_test.go
+++ b/io/node/tombstone_test.go
@@ -116,9 +116,9 @@
 	c, now := newSuccessor(t)
 	n := c.node
 	for _, account := range []string{"one", "two"} {
-		must.Eq(t, OutcomeNoSuchJob, n.storeCancel(t.Context(), Caller{Account: account}, "j", true).Outcome)
+		must.Eq(t, OutcomeNoSuchJob, n.storeCancel(t.Context(), Caller{Account: account}, "j", viewUnknown).Outcome)
 	}
-	must.Eq(t, OutcomeNoSuchJob, n.storeCancel(t.Context(), Caller{Account: "two"}, "k", true).Outcome)
+	must.Eq(t, OutcomeNoSuchJob, n.storeCancel(t.Context(), Caller{Account: "two"}, "k", viewUnknown).Outcome)
 	list, err := n.Store.Range(t.Context(), keyIntake, store.Critical)
 	must.NoError(t, err)
 	must.Len(t, 3, list.Records)
@@ -145,7 +145,7 @@
 	group.SetLimit(500)
 	for i := range ids {
 		group.Go(func() error {
-			outcomes <- n.storeCancel(t.Context(), Caller{}, fmt.Sprintf("%016x", i), true).Outcome
+			outcomes <- n.storeCancel(t.Context(), Caller{}, fmt.Sprintf("%016x", i), viewUnknown).Outcome
 			return nil
 		})
 	}
@@ -161,13 +161,21 @@
 	t.Logf("%d tombstones: %v calls to the store", maxEntryTombstones, p.Calls())
 	records := p.Records(keyCancel)
 	must.Len(t, maxEntryTombstones, records)
+	// A stored job can be cancelled nevertheless.
+	for _, view := range []ownerView{viewUnknown, viewFull} {
+		id := "stored" + string(view)
+		must.Eq(t, OutcomeDone, n.accept(t.Context(), job(id, 1)).Outcome)
+		must.Eq(t, OutcomeDone, n.storeCancel(t.Context(), Caller{}, id, view).Outcome)
+	}
+	must.Eq(t, verdictTombstones, n.storeCancel(t.Context(), Caller{}, "unknown", viewFull))
 	now = now.Add(n.Bounds.TombstoneLife()/2 + time.Second)
-	must.Eq(t, OutcomeNoSuchJob, n.storeCancel(t.Context(), Caller{}, "later", true).Outcome)
+	must.Eq(t, OutcomeNoSuchJob, n.storeCancel(t.Context(), Caller{}, "later", viewUnknown).Outcome)
 	must.NoError(t, p.Revoke(t.Context(), records[0].Lease))
-	must.Len(t, 1, p.Records(keyCancel))
+	must.Len(t, 1, p.Records(keyCancel+"later/"))
+	must.Len(t, 3, p.Records(keyCancel)) // with those of the stored jobs
 	// The store may end a lease early.
-	must.NoError(t, p.Revoke(t.Context(), p.Records(keyCancel)[0].Lease))
-	must.Eq(t, OutcomeNoSuchJob, n.storeCancel(t.Context(), Caller{}, "latest", true).Outcome)
+	must.NoError(t, p.Revoke(t.Context(), p.Records(keyCancel + "later/")[0].Lease))
+	must.Eq(t, OutcomeNoSuchJob, n.storeCancel(t.Context(), Caller{}, "latest", viewUnknown).Outcome)
 	must.Len(t, 1, p.Records(keyCancel+"latest"))
 }
 
@@ -193,7 +201,7 @@
 		{"cancellation at the owner", "j", func(id string) Verdict { return n.Cancel(t.Context(), Caller{}, id) }, 1},
 		{"cancellation of an unknown id", "k", func(id string) Verdict { return n.Cancel(t.Context(), Caller{}, id) }, 1},
 		{"job for the next", "l", func(id string) Verdict { return n.Submit(t.Context(), longRunning(id)) }, 1},
-		{"cancellation without the owner", "l", func(id string) Verdict { return n.storeCancel(t.Context(), Caller{}, id, false) }, 2},
+		{"cancellation without the owner", "l", func(id string) Verdict { return n.storeCancel(t.Context(), Caller{}, id, viewNone) }, 2},
 	}
 	grants := c.platform.Calls()["Grant"]
 	for _, e := range cases {
