Give each entry of a test cluster a loopback host of its own

TestLateJobOfACancelledIDNeverRuns failed once, in its first run and before it passed in some 60 others: "timed out waiting until the first entry owns". Cause: a test picks a free port, closes it and lets the entry listen there later; a cluster that runs in parallel may take the port meanwhile. The entry then ends, and since the cluster's clean-up is not registered yet, its error is not shown. With the port held on purpose TestCancelIsDurable fails with the same words.

Each entry now listens on another host of the loopback network, in a part that depends on the process.

--- a/io/node/fake_test.go
+++ b/io/node/fake_test.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
+	"os"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -455,10 +457,15 @@
 	must.NoError(c.t, err)
 }
 
-// freeAddress returns a loopback address with a port that was free a moment ago.
+var lastAddress atomic.Uint32
+
+// freeAddress returns a loopback address with a port that was free a moment ago. Each call returns another host of the process's own part of the
+// loopback network, since clusters that run in parallel take each other's free ports.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	pid := os.Getpid()
+	host := netip.AddrFrom4([4]byte{127, byte(64 + pid%64), byte(pid / 64), byte(lastAddress.Add(1))})
+	l, err := listen(t.Context(), netip.AddrPortFrom(host, 0))
 	must.NoError(t, err)
 	address := netip.MustParseAddrPort(l.Addr().String())
 	must.NoError(t, l.Close())
