Name what stores a tombstone and what it is bound to by the usual words

buryID becomes storeTombstone, presentLease currentLease; the memory of 50,000 tombstones at the owner is 8 MB, measured once on a scratch test. No change of behaviour.

--- a/io/node/requests.go
+++ b/io/node/requests.go
@@ -354,7 +354,7 @@
 		case view == viewFull:
 			return verdictTombstones
 		default:
-			v, job = n.buryID(ctx, caller, id)
+			v, job = n.storeTombstone(ctx, caller, id)
 		}
 		if found == (job.Revision > 0) {
 			return v
--- a/io/node/tombstone.go
+++ b/io/node/tombstone.go
@@ -24,7 +24,7 @@
 // leases of the store, which removes them without further calls.
 
 const (
-	maxTombstones      = 50_000 // that the owner keeps; about 10 MB of memory
+	maxTombstones      = 50_000 // that the owner keeps; some 8 MB of memory
 	maxEntryTombstones = 10_000 // that one entry writes under one lease
 	tombstoneAttempts  = 2      // the second with a new lease
 	digestBytes        = 8
@@ -70,8 +70,8 @@
 	return id, caller, isTombstone, err
 }
 
-// buryID stores a caller's tombstone for an id. If a job is stored under the id, it returns the job's record instead.
-func (n *Node) buryID(ctx context.Context, caller Caller, id string) (v Verdict, job store.Record) {
+// storeTombstone stores a caller's tombstone for an id. If a job is stored under the id, it returns the job's record instead.
+func (n *Node) storeTombstone(ctx context.Context, caller Caller, id string) (v Verdict, job store.Record) {
 	if n.Store.Down(time.Now()) {
 		return Verdict{Outcome: OutcomeNotRun, RetryAfter: n.storeRetryAfter(), Reason: "StoreDown"}, job
 	}
@@ -140,7 +140,7 @@
 	ctx, cancel := context.WithTimeout(ctx, tombstoneTimeout)
 	defer cancel()
 	for {
-		if lease, err := t.presentLease(t.node.Now()); lease != "" || err != nil {
+		if lease, err := t.currentLease(t.node.Now()); lease != "" || err != nil {
 			return lease, err
 		}
 		if _, err, _ := t.flights.Do(grantFlight, func() (any, error) { return nil, t.grant(ctx) }); err != nil {
@@ -161,8 +161,8 @@
 	return t.lease == "" || now.Sub(t.granted) > t.node.Bounds.TombstoneLife()/2
 }
 
-// presentLease returns the lease that new tombstones are bound to, or none if another one must be granted.
-func (t *tombstones) presentLease(now time.Time) (string, error) {
+// currentLease returns the lease that new tombstones are bound to, or none if another one must be granted.
+func (t *tombstones) currentLease(now time.Time) (string, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
