Say more plainly how a cancellation finds its job or stores a tombstone

A view of the owner was derived from its verdict and passed beside it, the end of a loop compared two conditions, a lookup in records stood in three places, and the rule on callers lay with tombstones.

Change: storeCancel takes the owner's verdict; cancelStored says whether the job was removed; store.RecordOf serves the batcher, decodeStored and tombstones; Caller lies with the accounts.

--- a/core/sched/accounts.go
+++ b/core/sched/accounts.go
@@ -7,6 +7,18 @@
 	"time"
 )
 
+// Caller is what a request is made with: the account of its key, empty without one, and the queue of its route.
+type Caller struct {
+	Account string
+	Queue   string
+}
+
+// MayUse reports whether the caller may use the jobs of an account in a queue. Jobs without an account are anybody's. A caller
+// without an account comes by a public route and may use all jobs of its queue, also those from before the route was public.
+func (c Caller) MayUse(account, queue string) bool {
+	return account == "" || account == c.Account || c.Account == "" && c.Queue == queue
+}
+
 // AccountReport is the load of a client account.
 type AccountReport struct {
 	AccountUse
--- a/core/sched/sim_test.go
+++ b/core/sched/sim_test.go
@@ -98,7 +98,7 @@
 	acknowledged     map[TaskID]bool               // tasks of which an end as done was acknowledged
 	cancelled        map[string]bool               // jobs whose cancellation is stored
 	cancelledAt      map[string]time.Time          // by id, when the first cancellation was acknowledged
-	buried           map[string]bool               // ids with a tombstone
+	tombstones       map[string]bool               // ids with a tombstone
 	readDelay        func(id string) time.Duration // until a new owner has read a job; nil if it begins with all jobs
 	lastIncarnation  int
 	config           Config
@@ -151,7 +151,7 @@
 	w := &simulation{
 		t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, simStream)),
 		jobs: make(map[string]Job), stored: make(map[string]Progress), waves: make(map[int64]WaveStatus), roster: make(map[string]Worker), byID: make(map[string]*simWorker),
-		done: make(map[TaskID]time.Time), starts: make(map[TaskID]int), lastStart: make(map[TaskID]time.Time), doneRuns: make(map[taskRun]time.Time), deadly: make(map[TaskID]time.Duration), failures: make(map[TaskID]int), finalBy: make(map[string]uint64), finalAt: make(map[string]time.Time), crashes: make(map[TaskID]int), lateStarts: make(map[TaskID]int), unavailableUntil: make(map[string]time.Time), pools: make(map[string]string), tokens: make(map[string]uint64), maintained: make(map[string]int64), lostAt: make(map[TaskID]time.Time), struck: make(map[TaskID]int), acknowledged: make(map[TaskID]bool), cancelled: make(map[string]bool), cancelledAt: make(map[string]time.Time), buried: make(map[string]bool), maxDown: make(map[int64]int), maintenanceEnd: make(map[string]time.Time),
+		done: make(map[TaskID]time.Time), starts: make(map[TaskID]int), lastStart: make(map[TaskID]time.Time), doneRuns: make(map[taskRun]time.Time), deadly: make(map[TaskID]time.Duration), failures: make(map[TaskID]int), finalBy: make(map[string]uint64), finalAt: make(map[string]time.Time), crashes: make(map[TaskID]int), lateStarts: make(map[TaskID]int), unavailableUntil: make(map[string]time.Time), pools: make(map[string]string), tokens: make(map[string]uint64), maintained: make(map[string]int64), lostAt: make(map[TaskID]time.Time), struck: make(map[TaskID]int), acknowledged: make(map[TaskID]bool), cancelled: make(map[string]bool), cancelledAt: make(map[string]time.Time), tombstones: make(map[string]bool), maxDown: make(map[int64]int), maintenanceEnd: make(map[string]time.Time),
 		settings: simSettings,
 		config:   Config{Version: 1, Queues: make(map[string]Queue), Pools: map[string]Pool{"spare": {Name: "spare", Spare: true}}},
 	}
@@ -248,7 +248,7 @@
 			o.state.CancelStored(w.now, id)
 		}
 	}
-	for _, id := range sortedKeys(w.buried) {
+	for _, id := range sortedKeys(w.tombstones) {
 		o.state.CancelUnstored(w.now, id, Caller{})
 	}
 	for _, s := range w.waves {
@@ -307,7 +307,7 @@
 		w.schedule(intakeDelay, func() { w.cancel(id) })
 		return
 	}
-	w.buried[id] = true
+	w.tombstones[id] = true
 	w.schedule(intakeDelay, func() { w.owner.state.CancelUnstored(w.now, id, Caller{}) })
 }
 
--- a/core/sched/tombstone_test.go
+++ b/core/sched/tombstone_test.go
@@ -9,8 +9,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestTombstoneEndsALaterJob guards against starting a job whose id was cancelled before the job was stored, in whichever order the owner
-// learns of both.
+// TestTombstoneEndsALaterJob guards against starting a job whose id was cancelled before the job was stored.
 func TestTombstoneEndsALaterJob(t *testing.T) {
 	one := Caller{Account: "one", Queue: "q-p"}
 	cases := []struct {
@@ -82,8 +81,7 @@
 	}
 }
 
-// TestCancelSoak cancels jobs before and after they are stored, in random orders and under random troubles. The invariant that no job starts
-// after its cancellation was acknowledged is checked at each start.
+// TestCancelSoak guards against starting jobs whose ids were cancelled before or after the jobs were stored, under random troubles.
 func TestCancelSoak(t *testing.T) {
 	for seed := *soakFirst; seed < *soakFirst+*soakSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/io/guard/conn_test.go
+++ b/io/guard/conn_test.go
@@ -16,8 +16,7 @@
 
 func (readyConn) Read(b []byte) (int, error) { return len(b), nil }
 
-// TestBusyConnectionYields guards against callers who always have something to read and so keep an entry's only processor for a time slice each:
-// its calls to the store timed out behind 200 of them, and it was not ready.
+// TestBusyConnectionYields guards against connections that keep the only processor because there is always something to read.
 func TestBusyConnectionYields(t *testing.T) {
 	const reads = 1000
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
--- a/io/node/intake.go
+++ b/io/node/intake.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -185,14 +187,11 @@
 			return nil
 		}
 		c.enqueue(func(now time.Time) {
-			newest := 0
 			for i, id := range ids {
 				c.addStoredJob(now, id, jobs[i], progress[i])
-				if jobs[i].Revision > jobs[newest].Revision {
-					newest = i
-				}
 			}
-			c.node.logLimited("JobsRead").Int("Jobs", len(ids)).Str("Newest", ids[newest]).Uint64("Revision", jobs[newest].Revision).Dur("Took", now.Sub(began)).Uint64("Fence", c.token).Send()
+			newest := slices.MaxFunc(jobs, func(a, b store.Record) int { return cmp.Compare(a.Revision, b.Revision) })
+			c.node.logLimited("JobsRead").Int("Jobs", len(ids)).Str("Newest", strings.TrimPrefix(newest.Key, keyJobs)).Uint64("Revision", newest.Revision).Dur("Took", now.Sub(began)).Uint64("Fence", c.token).Send()
 			c.readingJobs = false
 			c.readJobs(nil) // those that were ordered meanwhile
 		})
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -167,7 +167,7 @@
 	longRunning := job("j", 2)
 	longRunning.Steps[0].LongRunning = true
 	must.Eq(t, OutcomeDone, c.nodes[0].Submit(t.Context(), longRunning).Outcome)
-	must.Eq(t, OutcomeDone, c.nodes[0].storeCancel(t.Context(), Caller{}, "j", viewNone).Outcome)
+	must.Eq(t, OutcomeDone, c.nodes[0].storeCancel(t.Context(), Caller{}, "j", Verdict{}).Outcome)
 	c.await("the owner applies the cancellation", func() bool { return c.state(c.nodes[0], "j") == sched.Cancelled })
 }
 
--- a/io/node/requests.go
+++ b/io/node/requests.go
@@ -238,17 +238,15 @@
 
 // decodeStored returns the job of an id among stored records. It is empty, and so anybody's, if it can't be decoded.
 func (n *Node) decodeStored(id string, current []store.Record) sched.Job {
-	for _, r := range current {
-		if r.Key != keyJobs+id || r.Revision == 0 {
-			continue
-		}
-		j, err := sched.DecodeJob(r.Value)
-		if err != nil {
-			n.log("RecordSkipped").Str("Key", r.Key).Err(err).Send()
-		}
-		return j
+	r := store.RecordOf(current, keyJobs+id)
+	if r.Revision == 0 {
+		return sched.Job{}
+	}
+	j, err := sched.DecodeJob(r.Value)
+	if err != nil {
+		n.log("RecordSkipped").Str("Key", r.Key).Err(err).Send()
 	}
-	return sched.Job{}
+	return j
 }
 
 // State returns the state of a job to a caller.
@@ -309,64 +307,49 @@
 		return v
 	}
 	sent := err == nil && v.Outcome == OutcomeUnknown || err != nil && !errors.Is(err, errNotSent)
-	view := viewNone
-	switch {
-	case err == nil && v.Reason == reasonTombstones:
-		view = viewFull
-	case err == nil && v.Outcome == OutcomeNoSuchJob:
-		view = viewUnknown
-	}
-	v = n.storeCancel(ctx, caller, id, view)
+	v = n.storeCancel(ctx, caller, id, v)
 	if sent && v.Outcome == OutcomeNotRun {
 		v.Outcome = OutcomeUnknown // the owner may have cancelled the job
 	}
 	return v
 }
 
-// ownerView is what the owner says of the id of a job that is to be cancelled.
-type ownerView string
-
-// Views of an owner.
-const (
-	viewNone    ownerView = "None"    // it was not asked or did not answer
-	viewUnknown ownerView = "Unknown" // it knows no such job, which may be stored all the same
-	viewFull    ownerView = "Full"    // the same, and it takes no more tombstones
-)
-
 // storeCancel stores a cancellation, which the owner reads from the intake: that of the job that is stored under the id, or a
-// tombstone. If the owner knows no such job, it writes the tombstone without looking for the job first.
-func (n *Node) storeCancel(ctx context.Context, caller Caller, id string, view ownerView) Verdict {
+// tombstone. The owner's verdict is empty if the owner did not answer. If the owner knows no such job, the tombstone is written without
+// looking for the job first.
+func (n *Node) storeCancel(ctx context.Context, caller Caller, id string, owner Verdict) Verdict {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	var job store.Record
-	if view != viewUnknown || n.tombstones.full(n.Now()) {
+	if owner != verdictNoSuchJob || n.tombstones.full(n.Now()) {
 		var err error
 		if job, err = n.Store.Get(ctx, keyJobs+id, store.Critical); err != nil {
 			return Verdict{Outcome: OutcomeNotRun, RetryAfter: n.storeRetryAfter(), Reason: "StoreUnanswered"}
 		}
 	}
 	for {
-		var v Verdict
-		found := job.Revision > 0
-		switch {
-		case found:
-			v, job = n.cancelStored(ctx, caller, job)
-		case view == viewFull:
-			return verdictTombstones
-		default:
-			v, job = n.storeTombstone(ctx, caller, id)
+		if job.Revision == 0 {
+			if owner == verdictTombstones {
+				return owner
+			}
+			var v Verdict
+			if v, job = n.storeTombstone(ctx, caller, id); job.Revision == 0 {
+				return v
+			}
 		}
-		if found == (job.Revision > 0) {
+		v, removed := n.cancelStored(ctx, caller, job)
+		if !removed {
 			return v
 		}
+		job = store.Record{}
 	}
 }
 
-// cancelStored stores the cancellation of a stored job. If the job has been removed meanwhile, it returns an empty record.
-func (n *Node) cancelStored(ctx context.Context, caller Caller, job store.Record) (Verdict, store.Record) {
+// cancelStored stores the cancellation of a stored job, and reports whether the job has been removed meanwhile.
+func (n *Node) cancelStored(ctx context.Context, caller Caller, job store.Record) (v Verdict, removed bool) {
 	id := strings.TrimPrefix(job.Key, keyJobs)
 	if j := n.decodeStored(id, []store.Record{job}); !caller.MayUse(j.Account, j.Queue) {
-		return verdictHidden, job
+		return verdictHidden, false
 	}
 	change := store.Change{
 		Conditions: []store.Condition{{Key: job.Key, Revision: job.Revision}, {Key: keyCancel + id}},
@@ -375,12 +358,12 @@
 	s, err := n.Store.Commit(ctx, change)
 	n.logLimited("Cancel").Str("Job", id).Str("Outcome", string(s.Outcome)).AnErr("Cause", err).Send()
 	switch conflict := s.Outcome == store.Conflicted && len(s.Current) > 0; {
-	case s.Outcome == store.Applied || conflict && recordOf(s.Current, keyCancel+id).Revision > 0:
-		return Verdict{Outcome: OutcomeDone, State: sched.Cancelled}, job
-	case conflict && recordOf(s.Current, job.Key).Revision == 0:
-		return Verdict{}, store.Record{}
+	case s.Outcome == store.Applied || conflict && store.RecordOf(s.Current, keyCancel+id).Revision > 0:
+		return Verdict{Outcome: OutcomeDone, State: sched.Cancelled}, false
+	case conflict && store.RecordOf(s.Current, job.Key).Revision == 0:
+		return Verdict{}, true
 	}
-	return Verdict{Outcome: OutcomeUnknown, Reason: "StoreUnanswered"}, job
+	return Verdict{Outcome: OutcomeUnknown, Reason: "StoreUnanswered"}, false
 }
 
 // Waiting returns the number of waiting jobs of a queue.
@@ -587,7 +570,7 @@
 		case c.state.Tombstones() >= maxTombstones:
 			return verdictTombstones
 		default:
-			return Verdict{Outcome: OutcomeNoSuchJob}
+			return verdictNoSuchJob
 		}
 		c.state.WhenFinal(id, func(state sched.JobState) { done <- Verdict{Outcome: OutcomeDone, State: state} })
 		return Verdict{Outcome: OutcomeDone}
--- a/io/node/tombstone.go
+++ b/io/node/tombstone.go
@@ -15,13 +15,12 @@
 	"daisysaddle/io/store"
 )
 
-// A tombstone is the stored cancellation of an id under which no job is stored. A write of such a job may still be on its way,
-// through any entry or one that has ended, so a caller is told that there is no such job only once the tombstone is stored. The
-// tombstone is written on the condition that no job is stored; a job that is stored later finds it in the intake, where the owner,
-// and each later one, ends the job before it starts. A job's write thus needs no condition on tombstones.
+// A tombstone is the stored cancellation of an id that has no job yet. A write of the job may be on its way, sent by any entry, also by
+// one that has ended. A caller is therefore told that there is no such job only once the tombstone is stored.
 //
-// Tombstones of different callers don't replace each other, since a caller must not cancel another account's job. They are bound to
-// leases of the store, which removes them without further calls.
+// It is stored on the condition that the id has no job. The owner, and each later one, reads tombstones with the intake and ends a job
+// that is stored later, so a job's write needs no condition on tombstones. Each caller has a tombstone of its own, since it must not
+// cancel another account's job. Tombstones are bound to leases, with which the store removes them.
 
 const (
 	maxTombstones      = 50_000 // that the owner keeps; some 8 MB of memory
@@ -35,8 +34,11 @@
 // reasonTombstones is the reason of a cancellation that is refused because too many ids have tombstones.
 const reasonTombstones = "TooManyTombstones"
 
-// verdictTombstones is the verdict on such a cancellation.
-var verdictTombstones = Verdict{Outcome: OutcomeNotRun, RetryAfter: maxRetryAfter, Reason: reasonTombstones}
+// Verdicts on a cancellation.
+var (
+	verdictNoSuchJob  = Verdict{Outcome: OutcomeNoSuchJob}
+	verdictTombstones = Verdict{Outcome: OutcomeNotRun, RetryAfter: maxRetryAfter, Reason: reasonTombstones}
+)
 
 var errTombstones = errors.New("too many tombstones were written under this lease")
 
@@ -77,9 +79,9 @@
 	}
 	s, err := n.tombstones.put(ctx, caller, id)
 	n.logLimited("Tombstone").Str("Job", id).Str("Outcome", string(s.Outcome)).Bool("Unsettled", n.unsettled.has(n.Now(), id)).Uint64("Revision", s.Revision).AnErr("Cause", err).Send()
-	switch job = recordOf(s.Current, keyJobs+id); {
+	switch job = store.RecordOf(s.Current, keyJobs+id); {
 	case s.Outcome == store.Applied:
-		v = Verdict{Outcome: OutcomeNoSuchJob}
+		v = verdictNoSuchJob
 	case s.MaybeApplied:
 		v = Verdict{Outcome: OutcomeUnknown, Reason: "StoreUnanswered"}
 	case errors.Is(err, errTombstones):
@@ -118,18 +120,18 @@
 			return store.CommitResult{Outcome: store.Conflicted, MaybeApplied: maybeApplied}, err
 		}
 		tombstone.Lease = lease
-		type result struct {
-			store.CommitResult
-			err error
-		}
-		results := make(chan result, 1)
+		var s store.CommitResult
+		done := make(chan struct{})
 		change := store.Change{Conditions: []store.Condition{noJob}, Puts: []store.Record{tombstone}}
-		t.batcher.Submit(ctx, change, func(s store.CommitResult, err error) { results <- result{s, err} })
-		r := <-results
-		maybeApplied = maybeApplied || r.MaybeApplied
-		r.MaybeApplied = maybeApplied
-		if !errors.Is(r.err, store.ErrNoLease) || attempt == tombstoneAttempts {
-			return r.CommitResult, r.err
+		t.batcher.Submit(ctx, change, func(result store.CommitResult, cause error) {
+			s, err = result, cause
+			close(done)
+		})
+		<-done
+		maybeApplied = maybeApplied || s.MaybeApplied
+		s.MaybeApplied = maybeApplied
+		if !errors.Is(err, store.ErrNoLease) || attempt == tombstoneAttempts {
+			return s, err
 		}
 		t.dropLease(lease)
 	}
@@ -200,13 +202,3 @@
 		t.lease = ""
 	}
 }
-
-// recordOf returns the record of a key, with revision zero if it is not among the records.
-func recordOf(records []store.Record, key string) store.Record {
-	for _, r := range records {
-		if r.Key == key {
-			return r
-		}
-	}
-	return store.Record{Key: key}
-}
--- a/io/node/unsettled_test.go
+++ b/io/node/unsettled_test.go
@@ -107,8 +107,7 @@
 	}
 }
 
-// TestRefusalWhileAnotherEntryIsUnsettled: an entry without room must not refuse an attempt of a job whose write another entry has sent and
-// the store has not answered.
+// TestRefusalWhileAnotherEntryIsUnsettled guards against refusing a job whose write another entry has sent and the store has not answered.
 func TestRefusalWhileAnotherEntryIsUnsettled(t *testing.T) {
 	c, backends := newCluster(t, 2, 0)
 	c.await("the entries are linked", func() bool { return c.linked(1) })
--- a/io/store/backend.go
+++ b/io/store/backend.go
@@ -18,6 +18,16 @@
 	Lease    string `json:",omitempty"`
 }
 
+// RecordOf returns the record of a key, with revision zero if it is not among the records.
+func RecordOf(records []Record, key string) Record {
+	for _, r := range records {
+		if r.Key == key {
+			return r
+		}
+	}
+	return Record{Key: key}
+}
+
 // Batch is the result of a watch or of a range read: the keys that changed after the requested revision, or all keys.
 type Batch struct {
 	Revision uint64
--- a/io/store/batch.go
+++ b/io/store/batch.go
@@ -113,7 +113,7 @@
 			settleAll(changes, s, err)
 			return
 		}
-		if b.Guard != nil && revisionOf(s.Current, b.Guard.Key) != b.Guard.Revision {
+		if b.Guard != nil && RecordOf(s.Current, b.Guard.Key).Revision != b.Guard.Revision {
 			settleAll(changes, s, err)
 			return
 		}
@@ -125,7 +125,7 @@
 func (b *Batcher) removeConflicting(changes []queuedChange, s CommitResult, err error) []queuedChange {
 	var remaining []queuedChange
 	for _, q := range changes {
-		conflicting := slices.ContainsFunc(q.change.Conditions, func(c Condition) bool { return revisionOf(s.Current, c.Key) != c.Revision })
+		conflicting := slices.ContainsFunc(q.change.Conditions, func(c Condition) bool { return RecordOf(s.Current, c.Key).Revision != c.Revision })
 		switch revision, present := alreadyApplied(q.change, s.Current); {
 		case !conflicting:
 			remaining = append(remaining, q)
@@ -148,15 +148,6 @@
 	}
 }
 
-func revisionOf(records []Record, key string) uint64 {
-	for _, r := range records {
-		if r.Key == key {
-			return r.Revision
-		}
-	}
-	return 0
-}
-
 func (b *Batcher) merge(changes []queuedChange) Change {
 	var merged Change
 	if b.Guard != nil {
