Log why a machine of a wave is excluded and count the calls to the machine API

Excluded names the reason and both ages; Plans counts the calls to the machine API each second. No decision changes.

--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -71,6 +71,12 @@
 	Fault       string `json:",omitempty"` // why the rest of its entry can't be used, or empty
 }
 
+// MachineList is the list of machines as the machine API gave it.
+type MachineList struct {
+	Machines []Machine
+	Pages    int // a list of several pages is no snapshot: it may lack a machine that existed all the time
+}
+
 // worker is what the owner knows of a worker.
 type worker struct {
 	Worker
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -20,6 +20,7 @@
 type wave struct {
 	Wave
 	requestedAt      time.Time // when an owner first saw the wave
+	knownAt          time.Time // when this owner first saw it
 	members          []*waveMachine
 	storedBegun      int // number of machines whose maintenance had begun in the last stored status
 	stored           bool
@@ -60,11 +61,12 @@
 	if _, known := s.waves[w.Number]; known {
 		return
 	}
+	knownAt := now
 	restored, stored := s.storedWaves[w.Number]
 	if !restored.Asked.IsZero() {
 		now = restored.Asked
 	}
-	next := &wave{Wave: w, requestedAt: now}
+	next := &wave{Wave: w, requestedAt: now, knownAt: knownAt}
 	next.completionStored, next.allBegun, next.stored, next.storedBegun = restored.Completed, restored.Completed, stored, len(restored.Begun)
 	for _, m := range w.Machines {
 		next.members = append(next.members, &waveMachine{machine: m, begun: slices.Contains(restored.Begun, m)})
@@ -117,6 +119,7 @@
 	case Unanswered:
 		p.unconfirmed, p.retryAt = true, now.Add(maintenanceRetryDelay)
 	case Malformed:
+		s.logDecision("Excluded", TaskID{}, "", p.machine+" Rejected, "+s.listAge(now, w), w.Number)
 		p.excluded = true
 		s.uncordon(p.machine)
 	default:
@@ -186,7 +189,7 @@
 		if w.completionStored {
 			continue
 		}
-		s.updateWaveMachines(w)
+		s.updateWaveMachines(now, w)
 		if !w.allBegun {
 			s.requestMachineList(now, o)
 			s.planWave(now, w, o)
@@ -204,7 +207,7 @@
 }
 
 // updateWaveMachines reads from the list of machines which of a wave's machines have returned or are not listed any more.
-func (s *State) updateWaveMachines(w *wave) {
+func (s *State) updateWaveMachines(now time.Time, w *wave) {
 	if len(s.machines) == 0 {
 		return
 	}
@@ -213,7 +216,11 @@
 		m, listed := s.machines[p.machine]
 		switch {
 		case !listed:
-			p.excluded = !p.inFlight && !p.unconfirmed && !s.machinesUnclear
+			excluded := !p.inFlight && !p.unconfirmed && !s.machinesUnclear
+			if excluded && !p.excluded {
+				s.logDecision("Excluded", TaskID{}, "", p.machine+" NotListed, "+s.listAge(now, w), w.Number)
+			}
+			p.excluded = excluded
 		case p.begun && !p.returned && m.Up && s.machinesAsOf.Sub(p.orderedAt) > s.settings.UpkeepTime+machineListLag:
 			p.returned = true
 		}
@@ -223,6 +230,11 @@
 	}
 }
 
+// listAge describes how old the list of machines is, also compared with when this owner first knew the wave.
+func (s *State) listAge(now time.Time, w *wave) string {
+	return "list of " + now.Sub(s.machinesAsOf).String() + " ago, " + s.machinesAsOf.Sub(w.knownAt).String() + " after the wave was known"
+}
+
 // mayBeDown reports whether the machine is or may be down for its maintenance.
 func (p *waveMachine) mayBeDown() bool { return p.inFlight || p.unconfirmed || p.begun && !p.returned }
 
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -39,6 +39,7 @@
 	ready         atomic.Bool          // the stored state has been loaded
 	suspended     atomic.Bool          // no orders are sent until the store confirms the ownership
 	planCount     int                  // plans made since lastReport
+	machineCalls  int                  // calls to the machine API since lastReport: pages of its list, and orders
 	planTime      time.Duration        // spent on these plans
 	lastReport    time.Time            // when the load was last logged
 }
@@ -292,8 +293,8 @@
 
 // logLoad logs the load of the owner and of each pool, and resets the counts of plans.
 func (c *control) logLoad(now time.Time) {
-	c.node.log("Plans").Int("Count", c.planCount).Dur("Took", c.planTime).Dur("Past", now.Sub(c.lastReport)).Int("Backlog", len(c.events)).Uint64("Fence", c.token).Send()
-	c.planCount, c.planTime, c.lastReport = 0, 0, now
+	c.node.log("Plans").Int("Count", c.planCount).Dur("Took", c.planTime).Dur("Past", now.Sub(c.lastReport)).Int("Backlog", len(c.events)).Int("MachineCalls", c.machineCalls).Uint64("Fence", c.token).Send()
+	c.planCount, c.machineCalls, c.planTime, c.lastReport = 0, 0, 0, now
 	for _, p := range c.state.Report(now) {
 		c.node.log("Pool").Str("Pool", p.Pool).Int("Workers", p.Workers).Int("Usable", p.Usable).
 			Int("Unknown", p.Unknown).Int("Cordoned", p.Cordoned).Int("Silent", p.Silent).
--- a/io/node/dispatch.go
+++ b/io/node/dispatch.go
@@ -279,6 +279,7 @@
 }
 
 func (c *control) sendToMachine(o sched.MachineOrder) {
+	c.machineCalls++
 	c.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(c.ctx, machineTimeout)
 		defer cancel()
@@ -335,6 +336,7 @@
 		list, err := c.node.Machines.List(ctx)
 		c.enqueue(func(now time.Time) {
 			c.listing = false
+			c.machineCalls += list.Pages
 			if c.listAgain {
 				c.listAgain = false
 				c.listMachines()
@@ -343,8 +345,8 @@
 				c.node.log("MachinesUnknown").Err(err).Send()
 				return
 			}
-			c.logMachineFaults(list)
-			c.state.SetMachines(now, asked, list)
+			c.logMachineFaults(list.Machines)
+			c.state.SetMachines(now, asked, list.Machines)
 		})
 		return nil
 	})
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -31,7 +31,7 @@
 
 // Machines calls the machine API: it lists machines and sends orders to them.
 type Machines interface {
-	List(ctx context.Context) ([]sched.Machine, error)
+	List(ctx context.Context) (sched.MachineList, error)
 	Order(ctx context.Context, holder string, token uint64, o sched.MachineOrder) sched.Answer
 }
 
