Don't complete a wave on the word of one list of machines

Cause: a machine that the list of machines lacked was excluded from its wave, whatever the age of the list, and for good. The line Excluded of shows it: every machine in question was excluded by a list that had been requested 3.3 s before the wave was known; none after a rejected order.

Change: a list only makes the owner ask. Once two lists that were requested after the wave was known lack a machine, its upkeep is ordered, within the cap and not while a worker answers that was seen there. The order begins the upkeep if the machine exists. If it is rejected, and two lists that were requested after that lack the machine too, the machine is excluded; a later list that shows it takes that back. An order that is rejected as to no machine excludes a listed machine no longer, it is repeated.

--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -323,12 +323,13 @@
 				continue
 			}
 		}
-		s.machines[m.Name] = m
+		s.machines[m.Name], s.machineSeen[m.Name] = m, asked
 		onMachine[m.Worker] = true
 		if w := s.workers[m.Worker]; w != nil {
 			w.machine = m.Name
 		}
 	}
+	maps.DeleteFunc(s.machineSeen, func(name string, _ time.Time) bool { _, known := s.machines[name]; return !known })
 	s.fleetChanged = true
 	s.noteUnmanned(now)
 	s.resolveExecutedOrders(now, asked)
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -172,7 +172,7 @@
 	wave := Wave{Number: 1, TimeLimit: 27 * time.Second, MaxDown: 4}
 	for name := range w.pools {
 		wave.Machines = append(wave.Machines, name)
-		w.maintained[name] = 1
+		w.maintained[waveOrder{1, name}] = true
 	}
 	w.owner.state.AddWave(w.now, wave)
 	w.run(wave.TimeLimit)
--- a/core/sched/sim_test.go
+++ b/core/sched/sim_test.go
@@ -87,10 +87,14 @@
 	crashesKeepIDs   bool          // crashed workers start again under their ids
 	cutAtCrash       time.Duration // for which nothing reaches the address of a crashed worker
 	moveCount        int
-	unavailableUntil map[string]time.Time          // until when a machine is moving or in maintenance
-	pools            map[string]string             // by machine, its pool
-	tokens           map[string]uint64             // by machine, the highest fencing token it has seen
-	maintained       map[string]int64              // by machine, the wave of its last maintenance
+	unavailableUntil map[string]time.Time    // until when a machine is moving or in maintenance
+	pools            map[string]string       // by machine, its pool
+	tokens           map[string]uint64       // by machine, the highest fencing token it has seen
+	maintained       map[waveOrder]bool      // maintenance that has begun
+	requested        []Wave                  // the waves that the operator has requested
+	unmaintained     map[waveOrder]time.Time // machines that came back after the end of a wave that names them, until their maintenance begins
+	downFor          map[string]int64        // by machine, the wave of its last maintenance
+	machineAPI       simMachineAPI
 	maintenanceEnd   map[string]time.Time          // until when a machine is down for maintenance
 	maxDown          map[int64]int                 // by wave, the number of machines that may be down at once
 	lostAt           map[TaskID]time.Time          // when a trouble last ended a run of the task
@@ -151,7 +155,7 @@
 	w := &simulation{
 		t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, simStream)),
 		jobs: make(map[string]Job), stored: make(map[string]Progress), waves: make(map[int64]WaveStatus), roster: make(map[string]Worker), byID: make(map[string]*simWorker),
-		done: make(map[TaskID]time.Time), starts: make(map[TaskID]int), lastStart: make(map[TaskID]time.Time), doneRuns: make(map[taskRun]time.Time), deadly: make(map[TaskID]time.Duration), failures: make(map[TaskID]int), finalBy: make(map[string]uint64), finalAt: make(map[string]time.Time), crashes: make(map[TaskID]int), lateStarts: make(map[TaskID]int), unavailableUntil: make(map[string]time.Time), pools: make(map[string]string), tokens: make(map[string]uint64), maintained: make(map[string]int64), lostAt: make(map[TaskID]time.Time), struck: make(map[TaskID]int), acknowledged: make(map[TaskID]bool), cancelled: make(map[string]bool), cancelledAt: make(map[string]time.Time), tombstones: make(map[string]bool), maxDown: make(map[int64]int), maintenanceEnd: make(map[string]time.Time),
+		done: make(map[TaskID]time.Time), starts: make(map[TaskID]int), lastStart: make(map[TaskID]time.Time), doneRuns: make(map[taskRun]time.Time), deadly: make(map[TaskID]time.Duration), failures: make(map[TaskID]int), finalBy: make(map[string]uint64), finalAt: make(map[string]time.Time), crashes: make(map[TaskID]int), lateStarts: make(map[TaskID]int), unavailableUntil: make(map[string]time.Time), pools: make(map[string]string), tokens: make(map[string]uint64), maintained: make(map[waveOrder]bool), unmaintained: make(map[waveOrder]time.Time), downFor: make(map[string]int64), lostAt: make(map[TaskID]time.Time), struck: make(map[TaskID]int), acknowledged: make(map[TaskID]bool), cancelled: make(map[string]bool), cancelledAt: make(map[string]time.Time), tombstones: make(map[string]bool), maxDown: make(map[int64]int), maintenanceEnd: make(map[string]time.Time),
 		settings: simSettings,
 		config:   Config{Version: 1, Queues: make(map[string]Queue), Pools: map[string]Pool{"spare": {Name: "spare", Spare: true}}},
 	}
@@ -254,6 +258,9 @@
 	for _, s := range w.waves {
 		o.state.RestoreWave(s)
 	}
+	for _, wave := range w.requested {
+		o.state.AddWave(w.now, wave)
+	}
 	w.listWorkers(o)
 	for _, id := range sortedKeys(w.roster) {
 		o.state.RestoreRosterWorker(w.now, w.roster[id])
@@ -329,6 +336,7 @@
 			}
 			e.do()
 		}
+		w.stepMachineAPI()
 		for _, x := range w.workers {
 			w.stepWorker(x)
 		}
@@ -417,11 +425,11 @@
 		w.sendPoll(o, l, w.now)
 	}
 	for _, m := range orders.Machines {
-		w.schedule(simLatency, func() { o.state.MachineAnswered(w.now, m, w.executeMachineOrder(o, m)) })
+		w.sendMachineOrder(o, m)
 	}
 	if orders.ListMachines {
 		asked := w.now
-		w.schedule(simLatency, func() { o.state.SetMachines(w.now, asked, w.listMachines()) })
+		w.schedule(simLatency, func() { w.readMachines(o, asked, MachineList{}) })
 	}
 	if o.storeDown {
 		for _, s := range orders.Saves {
@@ -465,6 +473,7 @@
 	}
 	for _, s := range orders.Waves {
 		w.schedule(simLatency, func() {
+			w.checkWaveStatus(s)
 			w.waves[s.Wave] = s
 			o.state.WaveSaved(s)
 		})
@@ -718,8 +727,8 @@
 // listMachines returns the list of the machine API.
 func (w *simulation) listMachines() []Machine {
 	var list []Machine
-	for name, pool := range w.pools {
-		m := Machine{Name: name, Pool: pool, Up: true, Capacity: Size{Processors: 16000, MemoryMB: 32768}}
+	for _, name := range sortedKeys(w.pools) {
+		m := Machine{Name: name, Pool: w.pools[name], Up: true, Capacity: Size{Processors: 16000, MemoryMB: 32768}}
 		if until, found := w.unavailableUntil[name]; found && w.now.Before(until) {
 			m.Up, m.Unavailable = false, true
 		}
@@ -751,27 +760,33 @@
 		return StaleToken
 	}
 	w.tokens[m.Machine] = o.token
+	if w.pools[m.Machine] == "" {
+		return Malformed
+	}
 	if until, found := w.unavailableUntil[m.Machine]; found && w.now.Before(until) {
 		return MachineBusy
 	}
 	if w.pools[m.Machine] != "spare" && !slices.ContainsFunc(w.workers, func(x *simWorker) bool { return !x.down && machineOf(x) == m.Machine }) {
 		return MachineBusy
 	}
-	if m.Pool == "" && w.maintained[m.Machine] == m.Wave || m.Pool != "" && w.pools[m.Machine] == m.Pool {
+	due := waveOrder{m.Wave, m.Machine}
+	if m.Pool == "" && w.maintained[due] || m.Pool != "" && w.pools[m.Machine] == m.Pool {
 		return Executed // the order had been executed before
 	}
 	took := simSettings.UpkeepTime
 	if m.Pool == "" {
 		down := 0
 		for name, until := range w.maintenanceEnd {
-			if w.maintained[name] == m.Wave && w.now.Before(until) {
+			if w.downFor[name] == m.Wave && w.now.Before(until) {
 				down++
 			}
 		}
 		if most := w.maxDown[m.Wave]; most > 0 && down >= most {
 			w.violated("maintenance of %s begins while %d other machines of wave %d are down", m.Machine, down, m.Wave)
 		}
-		w.maintained[m.Machine] = m.Wave
+		w.maintained[due] = true
+		w.downFor[m.Machine] = m.Wave
+		delete(w.unmaintained, due)
 		w.maintenanceEnd[m.Machine] = w.now.Add(took)
 	}
 	if m.Pool != "" {
@@ -788,7 +803,7 @@
 	}
 	w.unavailableUntil[m.Machine] = w.now.Add(took)
 	w.schedule(took, func() {
-		if w.pools[m.Machine] != "spare" {
+		if pool := w.pools[m.Machine]; pool != "spare" && pool != "" {
 			w.addWorker(m.Machine)
 		}
 	})
--- a/core/sched/state.go
+++ b/core/sched/state.go
@@ -62,20 +62,21 @@
 	planned             time.Time // when the last plan was made
 	lastPlacement       time.Time // when tasks were last placed
 	copyOdds            map[oddsKey]*copyOdds
-	copiesPlanned       time.Time // when copies were last considered
-	placements          uint64    // number of orders of placement that were made
-	admissions          uint64    // number of times that the waiting work of a pool was summed up
-	predecessorEnd      time.Time // no earlier owner sends an order after it
-	predecessorRunsEnd  time.Time // every run that an earlier owner started has ended by then, unless its worker restarted
-	unseenRunsEnd       time.Time // the latest of the workers' unseenRunsEnd
-	confirmedUntil      time.Time // no other entry can become the owner before then
-	machinesRequestedAt time.Time // when the list of machines was last requested
-	machinesAsOf        time.Time // when the list of machines in use was requested
-	workersAsOf         time.Time // when the list of workers was last applied
-	machinesUnclear     bool      // an entry of that list had a fault
-	fleetChanged        bool      // whether something that waves or machine moves wait for has changed since lastFleetPlan
-	lastFleetPlan       time.Time // when waves and machine moves were last planned
-	sortedCache         []*worker // all workers; nil after one was added or removed
+	copiesPlanned       time.Time            // when copies were last considered
+	placements          uint64               // number of orders of placement that were made
+	admissions          uint64               // number of times that the waiting work of a pool was summed up
+	predecessorEnd      time.Time            // no earlier owner sends an order after it
+	predecessorRunsEnd  time.Time            // every run that an earlier owner started has ended by then, unless its worker restarted
+	unseenRunsEnd       time.Time            // the latest of the workers' unseenRunsEnd
+	confirmedUntil      time.Time            // no other entry can become the owner before then
+	machinesRequestedAt time.Time            // when the list of machines was last requested
+	machinesAsOf        time.Time            // when the list of machines in use was requested
+	machineSeen         map[string]time.Time // by machine: when the newest list that shows it was requested
+	workersAsOf         time.Time            // when the list of workers was last applied
+	machinesUnclear     bool                 // an entry of that list had a fault
+	fleetChanged        bool                 // whether something that waves or machine moves wait for has changed since lastFleetPlan
+	lastFleetPlan       time.Time            // when waves and machine moves were last planned
+	sortedCache         []*worker            // all workers; nil after one was added or removed
 }
 
 // queue holds the stages of one queue that have tasks to place.
@@ -190,7 +191,7 @@
 	return &State{
 		token: token, settings: settings, caps: newAccountCaps(), shares: make(map[string]*poolShares),
 		jobs: make(map[string]*job), queues: make(map[string]*queue), advisor: advisor{requests: make(map[TaskID]adviceRequest), queues: make(map[string]*queuePermits)}, queuePools: queuePools{pools: make(map[string]map[string]recordedPool), restored: make(map[string]bool)}, workers: make(map[string]*worker), departed: make(map[string]departure),
-		waves: make(map[int64]*wave), storedWaves: make(map[int64]WaveStatus), machines: make(map[string]Machine), dirty: make(map[string]*job),
+		waves: make(map[int64]*wave), storedWaves: make(map[int64]WaveStatus), machines: make(map[string]Machine), machineSeen: make(map[string]time.Time), dirty: make(map[string]*job),
 		demands: make(map[string]*poolDemand), moves: make(map[string]*move), executedOrders: make(map[string]executedOrder), runStats: make(map[string]*queueStats), copyOdds: make(map[oddsKey]*copyOdds), refusedMoves: make(map[moveTarget]bool), scheduled: make(map[string]*job), longRunningJobs: make(map[string]*job), suspectJobs: make(map[string]*job), silent: make(map[string]*silentWorker), began: now, unmanned: make(map[string]unmanned), zoneRooms: make(map[string]zoneRoom), announced: make(map[string]*announcement), tombstones: make(map[string][]tombstone), promisedRoom: make(map[string]Size),
 		predecessorEnd: predecessorEnd, predecessorRunsEnd: predecessorRunsEnd, unseenRunsEnd: predecessorRunsEnd,
 	}
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -33,7 +33,10 @@
 type waveMachine struct {
 	machine     string
 	begun       bool      // an order was executed
-	excluded    bool      // the machine is not listed any more, or the machine API rejects orders to it
+	excluded    bool      // the machine is gone
+	lacking     int       // number of lists of machines in a row that lack it; those requested before its rejection do not count
+	lackingAsOf time.Time // when the last of them was requested
+	rejectedAt  time.Time // when the machine API rejected an order to it while no list showed it, or as to no machine; zero once a later list shows it
 	returned    bool      // the machine is up again after its maintenance
 	inFlight    bool      // an order was sent and is not answered yet
 	unconfirmed bool      // an order got no answer and may have been executed
@@ -48,6 +51,7 @@
 const (
 	batchDrainTimeout     = 3 * time.Second         // a chosen machine waits this long for its batch tasks; most take less
 	maintenanceRetryDelay = 500 * time.Millisecond  // after an order that was refused or not answered
+	rejectedRetryDelay    = time.Second             // after an order to a listed machine that the machine API rejected as unknown
 	machineListLag        = 200 * time.Millisecond  // a list of machines may be this old when it is read
 	waveReserveDivisor    = 3                       // one part in this many of a wave's time is held back, since outages delay the wave
 	maintenanceOverhead   = 1500 * time.Millisecond // time that one machine's turn takes beyond its maintenance
@@ -119,18 +123,38 @@
 	case Unanswered:
 		p.unconfirmed, p.retryAt = true, now.Add(maintenanceRetryDelay)
 	case Malformed:
-		s.logDecision("Excluded", TaskID{}, "", p.machine+" Rejected, "+s.listAge(now, w), w.Number)
-		p.excluded = true
-		s.uncordon(p.machine)
-	default:
-		p.retryAt = now.Add(maintenanceRetryDelay)
-		if w := s.workers[s.machines[p.machine].Worker]; w != nil {
-			w.maintenanceOrdered = false // the order was not executed
+		s.rejected(now, p)
+	case MachineBusy:
+		if p.unlisted() {
+			s.rejected(now, p)
+			break
 		}
+		s.notOrdered(now, p)
+	default:
+		s.notOrdered(now, p)
 	}
 	s.placementChanged, s.fleetChanged = true, true
 }
 
+// notOrdered records that an order to a wave's machine was not executed.
+func (s *State) notOrdered(now time.Time, p *waveMachine) {
+	p.retryAt = now.Add(maintenanceRetryDelay)
+	if w := s.workers[s.machines[p.machine].Worker]; w != nil {
+		w.maintenanceOrdered = false
+	}
+}
+
+// rejected records that the machine API rejected an order to a wave's machine that may be gone, which later lists must confirm.
+func (s *State) rejected(now time.Time, p *waveMachine) {
+	s.notOrdered(now, p)
+	s.uncordon(p.machine)
+	p.rejectedAt, p.lacking, p.unconfirmed, p.chosenAt, p.retryAt = now, 0, false, time.Time{}, now.Add(rejectedRetryDelay)
+	s.machinesRequestedAt = time.Time{}
+}
+
+// unlisted reports whether the lists of machines lack the machine.
+func (p *waveMachine) unlisted() bool { return p.lacking >= listsToForget }
+
 // machineOrderExecuted records that an order to a machine was executed. The answer is the same for an order that
 // had been executed before, in which case the runs on the machine go on, so the next list of machines decides
 // whether they have ended.
@@ -206,7 +230,10 @@
 	}
 }
 
-// updateWaveMachines reads from the list of machines which of a wave's machines have returned or are not listed any more.
+// updateWaveMachines reads from the list of machines which of a wave's machines have returned or are gone.
+//
+// A machine is gone if the machine API has rejected an order to it and listsToForget lists that were requested since lack it. A list alone
+// proves nothing: it may be older than the machine, and one of several pages may lack a machine that existed all the time.
 func (s *State) updateWaveMachines(now time.Time, w *wave) {
 	if len(s.machines) == 0 {
 		return
@@ -216,11 +243,11 @@
 		m, listed := s.machines[p.machine]
 		switch {
 		case !listed:
-			excluded := !p.inFlight && !p.unconfirmed && !s.machinesUnclear
-			if excluded && !p.excluded {
-				s.logDecision("Excluded", TaskID{}, "", p.machine+" NotListed, "+s.listAge(now, w), w.Number)
-			}
-			p.excluded = excluded
+			s.noteLacking(now, w, p)
+		case s.machineSeen[p.machine].After(p.rejectedAt):
+			p.lacking, p.excluded, p.rejectedAt = 0, false, time.Time{}
+		}
+		switch {
 		case p.begun && !p.returned && m.Up && s.machinesAsOf.Sub(p.orderedAt) > s.settings.UpkeepTime+machineListLag:
 			p.returned = true
 		}
@@ -230,6 +257,19 @@
 	}
 }
 
+// noteLacking notes that the list of machines lacks a machine of a wave, and excludes the machine if it is gone.
+func (s *State) noteLacking(now time.Time, w *wave, p *waveMachine) {
+	since := latest(w.knownAt, p.rejectedAt)
+	if !s.machinesAsOf.After(p.lackingAsOf) || s.machinesAsOf.Sub(since) <= machineListLag || s.machinesUnclear {
+		return
+	}
+	p.lacking, p.lackingAsOf = p.lacking+1, s.machinesAsOf
+	if !p.rejectedAt.IsZero() && p.unlisted() && !p.excluded {
+		p.excluded = true
+		s.logDecision("Excluded", TaskID{}, "", p.machine+" Rejected "+now.Sub(p.rejectedAt).String()+" ago and NotListed, "+s.listAge(now, w), w.Number)
+	}
+}
+
 // listAge describes how old the list of machines is, also compared with when this owner first knew the wave.
 func (s *State) listAge(now time.Time, w *wave) string {
 	return "list of " + now.Sub(s.machinesAsOf).String() + " ago, " + s.machinesAsOf.Sub(w.knownAt).String() + " after the wave was known"
@@ -260,7 +300,7 @@
 	}
 	turns := s.turnsLeft(w)
 	for _, p := range s.sortedWaveMachines(now, w, turns) {
-		if p.begun || p.excluded || p.inFlight || p.unconfirmed && now.Before(p.retryAt) {
+		if p.begun || p.excluded || p.inFlight || (p.unconfirmed || !p.rejectedAt.IsZero()) && now.Before(p.retryAt) {
 			continue
 		}
 		m := s.machines[p.machine]
@@ -297,14 +337,46 @@
 			down++
 			chosen--
 		}
-		p.inFlight, p.orderedAt = true, now
 		if wk := s.workers[m.Worker]; wk != nil {
 			wk.maintenanceOrdered = true
 		}
-		o.Machines = append(o.Machines, MachineOrder{Machine: p.machine, Wave: w.Number})
+		w.order(now, p, o)
+	}
+	s.probeUnlisted(now, w, down+chosen, o)
+}
+
+// order orders the maintenance of a machine.
+func (w *wave) order(now time.Time, p *waveMachine, o *Orders) {
+	p.inFlight, p.orderedAt = true, now
+	o.Machines = append(o.Machines, MachineOrder{Machine: p.machine, Wave: w.Number})
+}
+
+// probeUnlisted orders the maintenance of the machines that the list lacks. The machine API rejects the order if the machine is gone, and
+// executes it if only the list lacks the machine; taken is how many machines are chosen or down.
+func (s *State) probeUnlisted(now time.Time, w *wave, taken int, o *Orders) {
+	for _, p := range w.members {
+		switch {
+		case !p.unlisted() || p.begun || p.excluded || p.inFlight || !p.rejectedAt.IsZero() || now.Before(p.retryAt):
+		case s.moves[p.machine] != nil || s.otherOrderPending(w, p.machine) || s.manned(p.machine):
+		case p.unconfirmed:
+			w.order(now, p, o)
+		case taken < w.MaxDown:
+			taken++
+			w.order(now, p, o)
+		}
 	}
 }
 
+// manned reports whether a worker answers that was last seen on the machine.
+func (s *State) manned(machine string) bool {
+	for _, w := range s.workers {
+		if w.machine == machine && w.polled && w.pollFailures == 0 && !w.ended {
+			return true
+		}
+	}
+	return false
+}
+
 // waitLogInterval is the shortest time between two log entries on why a machine waits for its maintenance.
 const waitLogInterval = 2 * time.Second
 
--- a/core/sched/wave_test.go
+++ b/core/sched/wave_test.go
@@ -49,3 +49,61 @@
 		must.Less(t, wave.TimeLimit, w.now.Sub(began))
 	}
 }
+
+// TestWaveNamesMachinesNewerThanTheList guards against MIXED: a wave was completed, and machines of it that had come since the owner last
+// read the list of machines never began their maintenance.
+func TestWaveNamesMachinesNewerThanTheList(t *testing.T) {
+	for _, outage := range []time.Duration{0, 4 * time.Second} {
+		w := newSimulation(t, 1, map[string]int{"p": 6})
+		w.run(settleTime)
+		w.submit(longRunningJob("long", "p", 4))
+		w.run(time.Second)
+		w.machineAPI.busy = outage > 0
+		w.run(outage)
+		for _, name := range []string{"m10", "m11", "m12"} {
+			w.addMachine(name, "p")
+		}
+		w.requestWave(Wave{Number: 1, Machines: sortedKeys(w.pools), TimeLimit: 30 * time.Second, MaxDown: 3})
+		w.run(outage / 4)
+		w.machineAPI.busy = false
+		began := w.now
+		for !w.waves[1].Completed {
+			w.run(100 * time.Millisecond)
+			must.Less(t, 20*time.Second, w.now.Sub(began))
+		}
+		must.Len(t, 9, w.waves[1].Begun)
+	}
+}
+
+// TestWaveEndsWithoutItsGoneMachines guards against a wave that never ends, or ends late, since some of its machines are gone.
+func TestWaveEndsWithoutItsGoneMachines(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		gone func(w *simulation)
+	}{
+		{"before the wave", func(w *simulation) { w.removeMachine("m05") }},
+		{"in the wave", func(w *simulation) {
+			w.run(100 * time.Millisecond)
+			w.removeMachine("m05")
+			w.removeMachine("m04")
+		}},
+		{"all but one", func(w *simulation) {
+			for _, name := range []string{"m00", "m01", "m02", "m03", "m04"} {
+				w.removeMachine(name)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newSimulation(t, 1, map[string]int{"p": 6, "q": 2})
+			w.run(settleTime)
+			machines := []string{"m00", "m01", "m02", "m03", "m04", "m05"}
+			w.requestWave(Wave{Number: 1, Machines: machines, TimeLimit: 30 * time.Second, MaxDown: 2})
+			c.gone(w)
+			began := w.now
+			for !w.waves[1].Completed {
+				w.run(100 * time.Millisecond)
+				must.Less(t, 8*time.Second, w.now.Sub(began))
+			}
+		})
+	}
+}
