Count tasks on draining workers as unavailable for maintenance

The plan that learned that a worker drains took down the machine of another task of the step, and stopped the task on the draining worker a moment later (5.035 s in the log).

Cause: a run was available as long as its own worker answered, also while it was about to be stopped for the drain. Change: a run on a draining worker is not available.

TestNoMaintenanceBesideADrain failed before.

--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -698,9 +698,9 @@
 	return n
 }
 
-// available reports whether the run of a long-running task is ready on a worker that answers and is not going down.
+// available reports whether the run of a long-running task is ready on a worker that answers and is neither going down nor draining.
 func (r *run) available() bool {
-	return r.phase == running && r.percent >= fullPercent && r.worker.pollFailures == 0 && !r.worker.maintenanceOrdered
+	return r.phase == running && r.percent >= fullPercent && r.worker.pollFailures == 0 && !r.worker.maintenanceOrdered && !r.worker.Draining
 }
 
 // saveWave requests storing a wave's status when it has changed.
--- a/core/sched/wave_test.go
+++ b/core/sched/wave_test.go
@@ -107,3 +107,19 @@
 		})
 	}
 }
+
+// TestNoMaintenanceBesideADrain guards against AVAIL: the plan that learned that a worker drains, and stopped a task there, took down the
+// machine of another task of the step.
+func TestNoMaintenanceBesideADrain(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 5})
+	w.run(settleTime)
+	w.submit(longRunningJob("long", "p", 3))
+	w.run(2 * time.Second)
+	on := w.runsOf("long")
+	first, second := on[TaskID{Job: "long"}], on[TaskID{Job: "long", Index: 1}]
+	first.Draining, first.DrainLeft = true, 2*time.Second
+	w.listWorkers(w.owner)
+	w.requestWave(Wave{Number: 1, Machines: []string{machineOf(second)}, TimeLimit: 20 * time.Second, MaxDown: 1})
+	w.run(10 * time.Second)
+	must.True(t, w.waves[1].Completed)
+}
