Don't take a machine for gone that one list of several pages lacks

While machines come and go, such a list may lack a machine that existed all the time. Its worker then counted as ended if its record was away (TWICE), an executed order counted as without effect, and its pool lost a machine. An empty list, and one that was read late, counted as well.

Change: a machine stays known until a second list in a row lacks it, or one of a single page. A worker that no list has shown needs two as well. An empty list proves nothing; a list older than the one in use is dropped. Effects of orders are read from entries of the list itself only. The list has a file of its own.

--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -59,30 +59,13 @@
 	return w.Capacity.Check()
 }
 
-// Machine is a machine as the machine API lists it.
-type Machine struct {
-	Name        string
-	Pool        string
-	Up          bool
-	Unavailable bool   // it is moving to another pool, or down for maintenance
-	Worker      string // id of the worker that runs on it, or empty
-	Zone        string
-	Capacity    Size
-	Fault       string `json:",omitempty"` // why the rest of its entry can't be used, or empty
-}
-
-// MachineList is the list of machines as the machine API gave it.
-type MachineList struct {
-	Machines []Machine
-	Pages    int // a list of several pages is no snapshot: it may lack a machine that existed all the time
-}
-
 // worker is what the owner knows of a worker.
 type worker struct {
 	Worker
 	predates           bool // it was known before this owner's first plan
 	listed             bool
 	unshown            int           // number of lists of machines in a row that lacked it while it was unseen
+	unplaced           int           // number of lists of machines in a row that showed it on no machine while the platform did not list it
 	forgotten          bool          // it ended as such
 	absent             bool          // the last list of machines shows its machine without it
 	machine            string        // on which a list of machines has shown it; empty while none has
@@ -308,83 +291,6 @@
 	return w.ended || startedAt.After(w.StartedAt)
 }
 
-// SetMachines replaces the list of machines with one that was requested at the time asked. A machine whose entry has a fault stays as it was, and
-// nothing that the list lacks is taken for gone then.
-func (s *State) SetMachines(now, asked time.Time, list []Machine) {
-	s.machinesAsOf = asked
-	former := s.machines
-	s.machines, s.machinesUnclear = make(map[string]Machine, len(list)), false
-	onMachine := make(map[string]bool, len(list))
-	for _, m := range list {
-		if m.Fault != "" {
-			s.machinesUnclear = true
-			var known bool
-			if m, known = former[m.Name]; !known {
-				continue
-			}
-		}
-		s.machines[m.Name], s.machineSeen[m.Name] = m, asked
-		onMachine[m.Worker] = true
-		if w := s.workers[m.Worker]; w != nil {
-			w.machine = m.Name
-		}
-	}
-	maps.DeleteFunc(s.machineSeen, func(name string, _ time.Time) bool { _, known := s.machines[name]; return !known })
-	s.fleetChanged = true
-	s.noteUnmanned(now)
-	s.resolveExecutedOrders(now, asked)
-	s.resolveSilent(now, asked, onMachine)
-	// Each worker runs on a machine, so a worker that is on none and that the platform does not list any more, or that is silent and was on
-	// a machine before, has ended.
-	for _, w := range s.sortedWorkers() {
-		_, listed := s.machines[w.machine]
-		w.absent = listed && !onMachine[w.ID]
-		unlisted := !w.listed && !onMachine[w.ID] && asked.After(w.lastListed) && len(list) > 0 && !s.machinesUnclear
-		silent := w.absent && w.pollFailures > 0 && asked.After(w.silentSince)
-		if !w.unseen() || onMachine[w.ID] || !asked.After(w.silentSince) || s.machinesUnclear {
-			w.unshown = 0
-		} else if len(list) > 0 {
-			w.unshown++
-		}
-		switch {
-		case w.forgotten && onMachine[w.ID]:
-			w.ended, w.forgotten, w.nextPoll = false, false, now
-		case w.ended:
-		case unlisted || silent:
-			w.ended = true
-			s.releaseAll(now, w)
-		case w.unshown >= listsToForget:
-			s.forgetUnseen(now, w)
-		}
-	}
-	s.placementChanged = true
-}
-
-// workerAppearTime is the time in which the platform's list shows the worker of a machine that is up.
-const workerAppearTime = 3 * time.Second
-
-// unmanned is a machine that is up and whose worker is not known.
-type unmanned struct {
-	worker string
-	since  time.Time
-}
-
-// noteUnmanned notes the machines that are up and whose worker is not known.
-func (s *State) noteUnmanned(now time.Time) {
-	maps.DeleteFunc(s.unmanned, func(name string, u unmanned) bool {
-		m := s.machines[name]
-		return m.Worker != u.worker || !m.Up || s.workers[m.Worker] != nil
-	})
-	for name, m := range s.machines {
-		if _, noted := s.unmanned[name]; !noted && m.Up && m.Worker != "" && s.workers[m.Worker] == nil {
-			s.unmanned[name] = unmanned{m.Worker, now}
-		}
-	}
-}
-
-// listsToForget is the number of lists of machines in a row that must lack an unseen worker before it has ended.
-const listsToForget = 2
-
 // Worker returns a worker by its id and reports whether it is known.
 func (s *State) Worker(id string) (Worker, bool) {
 	w := s.workers[id]
--- a/core/sched/machines_sim_test.go
+++ b/core/sched/machines_sim_test.go
@@ -43,10 +43,10 @@
 	}
 	list.Machines = append(list.Machines, rest...)
 	if api.late > 0 {
-		w.schedule(api.late, func() { o.state.SetMachines(w.now, asked, list.Machines) })
+		w.schedule(api.late, func() { o.state.SetMachines(w.now, asked, list) })
 		return
 	}
-	o.state.SetMachines(w.now, asked, list.Machines)
+	o.state.SetMachines(w.now, asked, list)
 }
 
 // sendMachineOrder delivers an order to the machine API.
--- a/core/sched/move.go
+++ b/core/sched/move.go
@@ -43,7 +43,7 @@
 		delete(s.moves, name)
 	case mv.inFlight || mv.unconfirmed:
 	case mv.executed:
-		if m.Pool == mv.to && !m.Unavailable && s.machinesAsOf.Sub(mv.answeredAt) > machineListLag || now.Sub(mv.answeredAt) > s.settings.MoveTime+moveListDelay {
+		if m.Pool == mv.to && !m.Unavailable && s.machineSeen[name].Sub(mv.answeredAt) > machineListLag || now.Sub(mv.answeredAt) > s.settings.MoveTime+moveListDelay {
 			delete(s.moves, name)
 		}
 	case now.Sub(mv.startedAt) > moveDrainTimeout || s.sourceNeedsMachine(mv):
--- a/core/sched/odd_test.go
+++ b/core/sched/odd_test.go
@@ -67,16 +67,16 @@
 		s.StartAnswered(now, s.Plan(now).Starts[0], Executed)
 		poll(now, []RunStatus{{Task: TaskID{Job: "j"}, Run: s.workers["w"].sortedRuns()[0].number}}, nil)
 		other := Machine{Name: "n", Pool: "p"}
-		s.SetMachines(now, now, []Machine{{Name: "m", Pool: "p", Up: true, Worker: "w"}, other})
+		s.SetMachines(now, now, MachineList{Machines: []Machine{{Name: "m", Pool: "p", Up: true, Worker: "w"}, other}})
 		s.AddWave(now, Wave{Number: 1, Machines: []string{"m"}, TimeLimit: time.Minute, MaxDown: 1})
 		now = now.Add(time.Second)
 		s.SetWorkers(now, nil) // its record is odd too
-		s.SetMachines(now.Add(time.Second), now.Add(time.Second), []Machine{odd, other})
+		s.SetMachines(now.Add(time.Second), now.Add(time.Second), MachineList{Machines: []Machine{odd, other}})
 		s.Plan(now.Add(time.Second))
 		must.False(t, s.workers["w"].ended, must.Sprint(odd))
 		must.MapLen(t, 1, s.workers["w"].runs)
 		must.False(t, s.waves[1].members[0].excluded, must.Sprint(odd))
-		s.SetMachines(now.Add(2*time.Second), now.Add(2*time.Second), []Machine{other})
+		s.SetMachines(now.Add(2*time.Second), now.Add(2*time.Second), MachineList{Machines: []Machine{other}})
 		must.True(t, s.workers["w"].ended, must.Sprint(odd))
 	}
 }
--- a/core/sched/restart_test.go
+++ b/core/sched/restart_test.go
@@ -513,7 +513,7 @@
 		list := s.workers["w"].Worker
 		now = now.Add(time.Second)
 		s.SetWorkers(now, nil)
-		s.SetMachines(now, now.Add(time.Second), []Machine{{Name: "m", Pool: "p"}})
+		s.SetMachines(now, now.Add(time.Second), MachineList{Machines: []Machine{{Name: "m", Pool: "p"}}})
 		must.True(t, s.workers["w"].ended)
 		list.StartedAt = now.Add(d)
 		s.SetWorkers(now, []Worker{list})
@@ -528,9 +528,9 @@
 	machines := []Machine{{Name: "m", Pool: "p"}}
 	gone := now.Add(time.Second)
 	s.SetWorkers(gone, nil) // its record is away for a moment
-	s.SetMachines(gone, now.Add(-time.Second), machines)
+	s.SetMachines(gone, now.Add(-time.Second), MachineList{Machines: machines})
 	must.False(t, s.workers["w"].ended)
-	s.SetMachines(gone, gone, machines)
+	s.SetMachines(gone, gone, MachineList{Machines: machines})
 	must.True(t, s.workers["w"].ended)
 }
 
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -174,7 +174,7 @@
 func (s *State) resolveExecutedOrders(now, asked time.Time) {
 	for _, name := range sortedKeys(s.executedOrders) {
 		t := s.executedOrders[name]
-		if !asked.After(t.at) {
+		if _, known := s.machines[name]; !asked.After(t.at) || known && !s.listedNow(name) {
 			continue
 		}
 		delete(s.executedOrders, name)
@@ -240,15 +240,14 @@
 	}
 	w.allBegun = true
 	for _, p := range w.members {
-		m, listed := s.machines[p.machine]
+		m := s.machines[p.machine]
 		switch {
-		case !listed:
+		case !s.listedNow(p.machine):
 			s.noteLacking(now, w, p)
-		case s.machineSeen[p.machine].After(p.rejectedAt):
+		case s.machinesAsOf.After(p.rejectedAt):
 			p.lacking, p.excluded, p.rejectedAt = 0, false, time.Time{}
 		}
-		switch {
-		case p.begun && !p.returned && m.Up && s.machinesAsOf.Sub(p.orderedAt) > s.settings.UpkeepTime+machineListLag:
+		if p.begun && !p.returned && m.Up && s.machineSeen[p.machine].Sub(p.orderedAt) > s.settings.UpkeepTime+machineListLag {
 			p.returned = true
 		}
 		if !p.begun && !p.excluded {
--- a/core/sched/zone_test.go
+++ b/core/sched/zone_test.go
@@ -176,7 +176,7 @@
 	}
 	for range listsToForget {
 		must.False(t, x.ended)
-		s.SetMachines(w.now, w.now, list)
+		s.SetMachines(w.now, w.now, MachineList{Machines: list})
 	}
 	must.True(t, x.ended)
 	gone.unreachable = false
@@ -195,9 +195,9 @@
 	s := New(now, 1, Settings{})
 	s.SetWorkers(now, nil)
 	list := []Machine{{Name: "m", Pool: "p", Worker: "w", Up: true}}
-	s.SetMachines(now, now, list)
+	s.SetMachines(now, now, MachineList{Machines: list})
 	now = now.Add(2 * workerAppearTime) // the store is down meanwhile
-	s.SetMachines(now, now, list)
+	s.SetMachines(now, now, MachineList{Machines: list})
 	s.lastFleetPlan = now
 	s.countMachines()
 	must.Eq(t, 1, s.demandOf("p").machines)
--- a/io/node/dispatch.go
+++ b/io/node/dispatch.go
@@ -346,7 +346,7 @@
 				return
 			}
 			c.logMachineFaults(list.Machines)
-			c.state.SetMachines(now, asked, list.Machines)
+			c.state.SetMachines(now, asked, list)
 		})
 		return nil
 	})
