End a wave whose machines go away during their maintenance

A machine that went away while it was down for its wave counted as down for ever, so that a wave with as many of them as its cap ordered no more. Change: it no longer counts once lists lack it and the time of its maintenance is over.

Its case of TestWaveEndsWithoutItsGoneMachines failed before. The new case of unanswered orders guards a stall that has ended: an order got no answer, the machine went away, and nothing asked again.

--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -37,7 +37,7 @@
 	lacking     int       // number of lists of machines in a row that lack it; those requested before its rejection do not count
 	lackingAsOf time.Time // when the last of them was requested
 	rejectedAt  time.Time // when the machine API rejected an order to it while no list showed it, or as to no machine; zero once a later list shows it
-	returned    bool      // the machine is up again after its maintenance
+	returned    bool      // the machine is up again after its maintenance, or gone
 	inFlight    bool      // an order was sent and is not answered yet
 	unconfirmed bool      // an order got no answer and may have been executed
 	orderedAt   time.Time // when an order was last sent or answered
@@ -247,7 +247,11 @@
 		case s.machinesAsOf.After(p.rejectedAt):
 			p.lacking, p.excluded, p.rejectedAt = 0, false, time.Time{}
 		}
-		if p.begun && !p.returned && m.Up && s.machineSeen[p.machine].Sub(p.orderedAt) > s.settings.UpkeepTime+machineListLag {
+		asOf := s.machineSeen[p.machine]
+		if p.unlisted() {
+			asOf = s.machinesAsOf
+		}
+		if p.begun && !p.returned && (m.Up || p.unlisted()) && asOf.Sub(p.orderedAt) > s.settings.UpkeepTime+machineListLag {
 			p.returned = true
 		}
 		if !p.begun && !p.excluded {
--- a/core/sched/wave_test.go
+++ b/core/sched/wave_test.go
@@ -87,6 +87,20 @@
 			w.removeMachine("m05")
 			w.removeMachine("m04")
 		}},
+		{"while orders are not answered", func(w *simulation) {
+			w.machineAPI.silent = true
+			w.run(2 * time.Second)
+			w.removeMachine("m00")
+			w.removeMachine("m05")
+			w.machineAPI.silent = false
+		}},
+		{"during their maintenance", func(w *simulation) {
+			w.run(100 * time.Millisecond)
+			must.MapLen(t, 2, w.unavailableUntil)
+			for _, name := range sortedKeys(w.unavailableUntil) {
+				w.removeMachine(name)
+			}
+		}},
 		{"all but one", func(w *simulation) {
 			for _, name := range []string{"m00", "m01", "m02", "m03", "m04"} {
 				w.removeMachine(name)
