Maintain a machine that comes back after its wave was completed

`completed` can't be withdrawn, but the machine is still due. Nothing ordered its maintenance once the completion was stored, neither the owner nor a later one. Change: a completed wave goes on with machines that lists show again; its status stays completed. A later owner knows from the stored status which machines were gone.

TestMachineThatComesBackIsMaintained failed before.

--- a/core/sched/sizing.go
+++ b/core/sched/sizing.go
@@ -294,7 +294,7 @@
 // maintenanceLeft reports whether a wave has machines whose maintenance has not begun.
 func (s *State) maintenanceLeft() bool {
 	for _, w := range s.waves {
-		if !w.completionStored && !w.allBegun {
+		if !w.allBegun {
 			return true
 		}
 	}
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -25,7 +25,8 @@
 	storedBegun      int // number of machines whose maintenance had begun in the last stored status
 	stored           bool
 	saving           bool
-	completionStored bool // the status that marks the wave as completed is durable
+	completed        bool // a status that marks the wave as completed was ordered to be stored, which can't be withdrawn
+	completionStored bool // that status is durable
 	allBegun         bool // maintenance has begun on all machines that are not excluded
 }
 
@@ -71,9 +72,10 @@
 		now = restored.Asked
 	}
 	next := &wave{Wave: w, requestedAt: now, knownAt: knownAt}
-	next.completionStored, next.allBegun, next.stored, next.storedBegun = restored.Completed, restored.Completed, stored, len(restored.Begun)
+	next.completed, next.completionStored, next.allBegun, next.stored, next.storedBegun = restored.Completed, restored.Completed, restored.Completed, stored, len(restored.Begun)
 	for _, m := range w.Machines {
-		next.members = append(next.members, &waveMachine{machine: m, begun: slices.Contains(restored.Begun, m)})
+		begun := slices.Contains(restored.Begun, m)
+		next.members = append(next.members, &waveMachine{machine: m, begun: begun, excluded: restored.Completed && !begun})
 	}
 	s.waves[w.Number] = next
 }
@@ -205,12 +207,12 @@
 	}
 }
 
-// planWaves advances all waves that are not completed.
+// planWaves advances all waves. A machine that comes back after its wave was completed without it is still due for its maintenance.
 func (s *State) planWaves(now time.Time, o *Orders) {
 	s.seekRoom = nil
 	for _, number := range sortedKeys(s.waves) {
 		w := s.waves[number]
-		if w.completionStored {
+		if w.completionStored && w.storedBegun == len(w.members) {
 			continue
 		}
 		s.updateWaveMachines(now, w)
@@ -459,7 +461,7 @@
 		return true
 	}
 	for _, other := range s.waves {
-		if other == w || other.completionStored {
+		if other == w {
 			continue
 		}
 		for _, p := range other.members {
@@ -708,13 +710,14 @@
 
 // saveWave requests storing a wave's status when it has changed.
 func (s *State) saveWave(w *wave, o *Orders) {
-	status := WaveStatus{Wave: w.Number, Completed: w.allBegun, Asked: w.requestedAt}
+	w.completed = w.completed || w.allBegun
+	status := WaveStatus{Wave: w.Number, Completed: w.completed, Asked: w.requestedAt}
 	for _, p := range w.members {
 		if p.begun {
 			status.Begun = append(status.Begun, p.machine)
 		}
 	}
-	if w.saving || w.stored && len(status.Begun) == w.storedBegun && !w.allBegun {
+	if w.saving || w.stored && len(status.Begun) == w.storedBegun && w.completed == w.completionStored {
 		return
 	}
 	w.saving = true
--- a/core/sched/wave_test.go
+++ b/core/sched/wave_test.go
@@ -137,3 +137,25 @@
 	w.run(10 * time.Second)
 	must.True(t, w.waves[1].Completed)
 }
+
+// TestMachineThatComesBackIsMaintained guards against a machine that is never maintained since it was away when its wave was completed, also
+// if an earlier owner stored the completion.
+func TestMachineThatComesBackIsMaintained(t *testing.T) {
+	for _, successor := range []bool{false, true} {
+		w := newSimulation(t, 1, map[string]int{"p": 6})
+		w.run(settleTime)
+		w.requestWave(Wave{Number: 1, Machines: []string{"m00", "m01", "m02"}, TimeLimit: 20 * time.Second, MaxDown: 1})
+		w.removeMachine("m02")
+		w.run(12 * time.Second)
+		must.True(t, w.waves[1].Completed)
+		if successor {
+			w.changeOwner()
+		}
+		w.addMachine("m02", "p")
+		w.submit(longRunningJob("long", "p", 3)) // the list of machines is read from the first job on
+		w.run(5 * time.Second)
+		must.MapEmpty(t, w.unmaintained, must.Sprint(successor))
+		must.True(t, w.waves[1].Completed)
+		must.Len(t, 3, w.waves[1].Begun)
+	}
+}
