Use a worker again that a later list of machines shows

A worker that lists had shown to be gone stayed ended for good, unless it had never been seen: its platform record and its machine came back, and it got no task until the next owner. Change: a later list that shows it on a machine takes that back; a poll must show its runs first.

TestWorkerThatListsShowAgainIsUsed failed before.

--- a/core/sched/fleet.go
+++ b/core/sched/fleet.go
@@ -66,7 +66,7 @@
 	listed             bool
 	unshown            int           // number of lists of machines in a row that lacked it while it was unseen
 	unplaced           int           // number of lists of machines in a row that showed it on no machine while the platform did not list it
-	forgotten          bool          // it ended as such
+	endedByList        bool          // it ended, as only lists of machines show; a later one may show it again
 	absent             bool          // the last list of machines shows its machine without it
 	machine            string        // on which a list of machines has shown it; empty while none has
 	lastListed         time.Time     // when the platform's list last held it
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -106,11 +106,12 @@
 		w.unshown = 0
 	}
 	switch {
-	case w.forgotten && onMachine:
-		w.ended, w.forgotten, w.nextPoll = false, false, now
+	case w.endedByList && onMachine:
+		w.ended, w.endedByList, w.nextPoll = false, false, now
+		s.logDecision("WorkerBack", TaskID{}, w.ID, "on "+w.machine, 0)
 	case w.ended:
 	case w.unplaced >= listsNeeded || silent:
-		w.ended = true
+		w.ended, w.endedByList = true, true
 		s.releaseAll(now, w)
 	case w.unshown >= listsToForget:
 		s.forgetUnseen(now, w)
--- a/core/sched/machines_test.go
+++ b/core/sched/machines_test.go
@@ -89,3 +89,19 @@
 	list(Machine{Name: "m", Pool: "p", Unavailable: true}, otherMachine)
 	must.MapEmpty(t, s.workers["w"].runs)
 }
+
+// TestWorkerThatListsShowAgainIsUsed guards against leaving a worker aside for good that earlier lists of machines had lacked.
+func TestWorkerThatListsShowAgainIsUsed(t *testing.T) {
+	s, list := ownerWithRun(t)
+	description := s.workers["w"].Worker
+	list(machineOfW, otherMachine)
+	list(otherMachine)
+	list(otherMachine)
+	must.True(t, s.workers["w"].ended)
+	list(machineOfW, otherMachine)
+	now := s.machinesAsOf
+	s.SetWorkers(now, []Worker{description})
+	must.SliceNotEmpty(t, s.Plan(now).Polls)
+	s.PollAnswered(now, "w", PollResult{Answer: Executed, Sent: now, StartedAt: description.StartedAt})
+	must.True(t, s.workers["w"].usable(now))
+}
--- a/core/sched/poll.go
+++ b/core/sched/poll.go
@@ -422,7 +422,7 @@
 		return
 	}
 	s.logDecision("WorkerEnded", TaskID{}, w.ID, "on no machine at "+w.Address.String(), 0)
-	w.ended, w.forgotten = true, true
+	w.ended, w.endedByList = true, true
 	w.listed, w.leaseEnd, w.nextPoll = false, now, now.Add(maxPollRetry)
 	s.placementChanged = true
 }
