Keep a worker usable whose chosen move is dropped for lack of its machine

When the list lacked the machine of a chosen move, the move was dropped and its worker stayed cordoned, also after a later list showed the machine. A move whose order was under way was dropped too. Change: the worker takes tasks again; a sent order awaits its answer.

TestMoveOfAnUnlistedMachine failed before.

--- a/core/sched/move.go
+++ b/core/sched/move.go
@@ -6,6 +6,7 @@
 type move struct {
 	to          string
 	from        string
+	worker      string // id of the worker that was cordoned for it
 	startedAt   time.Time
 	executed    bool // the order was answered as executed
 	inFlight    bool // the order was sent and is not answered yet
@@ -23,7 +24,7 @@
 // startMove chooses a machine to move to another pool; its worker gets no more tasks.
 func (s *State) startMove(now time.Time, name, to string) {
 	m := s.machines[name]
-	s.moves[name] = &move{to: to, from: m.Pool, startedAt: now}
+	s.moves[name] = &move{to: to, from: m.Pool, worker: m.Worker, startedAt: now}
 	if l := s.demands[m.Pool]; l != nil && !s.config.Pools[m.Pool].Spare {
 		l.machines = max(0, l.machines-1)
 	}
@@ -39,9 +40,10 @@
 func (s *State) advanceMove(now time.Time, name string, mv *move) {
 	m, listed := s.machines[name]
 	switch {
+	case mv.inFlight || mv.unconfirmed: // the answer to the order tells more than a list
 	case !listed:
 		delete(s.moves, name)
-	case mv.inFlight || mv.unconfirmed:
+		s.uncordonWorker(mv.worker) // a later list may show the machine again
 	case mv.executed:
 		if m.Pool == mv.to && !m.Unavailable && s.machineSeen[name].Sub(mv.answeredAt) > machineListLag || now.Sub(mv.answeredAt) > s.settings.MoveTime+moveListDelay {
 			delete(s.moves, name)
--- a/core/sched/move_test.go
+++ b/core/sched/move_test.go
@@ -44,3 +44,19 @@
 	must.Eq(t, 7, l.maxShare(later, spareSurplusTime))
 	must.Eq(t, 2, l.maxShare(later, poolSurplusTime))
 }
+
+// TestMoveOfAnUnlistedMachine guards against a worker that takes no more tasks: lists lacked the machine of a chosen move for a while, and
+// the move was dropped. A move whose order was sent must await its answer.
+func TestMoveOfAnUnlistedMachine(t *testing.T) {
+	for _, sent := range []bool{false, true} {
+		s, list := ownerWithRun(t)
+		list(machineOfW, otherMachine)
+		s.startMove(s.machinesAsOf, "m", "q")
+		s.moves["m"].inFlight = sent
+		list(otherMachine)
+		list(otherMachine)
+		s.advanceMove(s.machinesAsOf, "m", s.moves["m"])
+		must.Eq(t, sent, s.moves["m"] != nil)
+		must.Eq(t, sent, s.workers["w"].cordoned)
+	}
+}
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -200,8 +200,11 @@
 }
 
 // uncordon lets a machine's worker take tasks again.
-func (s *State) uncordon(machine string) {
-	if w := s.workers[s.machines[machine].Worker]; w != nil && w.cordoned {
+func (s *State) uncordon(machine string) { s.uncordonWorker(s.machines[machine].Worker) }
+
+// uncordonWorker lets a worker take tasks again.
+func (s *State) uncordonWorker(id string) {
+	if w := s.workers[id]; w != nil && w.cordoned {
 		w.cordoned, w.maintenanceOrdered, w.moveOrdered = false, false, false
 		s.placementChanged = true
 	}
