Don't let a list as old as its lag undo an executed order

A list that is a little older than an executed order shows the machine as up. The machine then counted as maintained, and another could go down beyond the cap (LIMIT). Change: only a list that was requested machineListLag after the order shows that it had no effect; one that shows the effect counts at once.

TestOldListDoesNotUndoAnExecutedOrder failed before.

--- a/core/sched/machines_test.go
+++ b/core/sched/machines_test.go
@@ -105,3 +105,19 @@
 	s.PollAnswered(now, "w", PollResult{Answer: Executed, Sent: now, StartedAt: description.StartedAt})
 	must.True(t, s.workers["w"].usable(now))
 }
+
+// TestOldListDoesNotUndoAnExecutedOrder guards against LIMIT: a list that was a little older than an executed order showed the machine as up, which
+// then counted as maintained.
+func TestOldListDoesNotUndoAnExecutedOrder(t *testing.T) {
+	s, list := ownerWithRun(t)
+	list(machineOfW)
+	now := s.machinesAsOf
+	s.AddWave(now, Wave{Number: 1, Machines: []string{"m"}, TimeLimit: time.Minute, MaxDown: 1})
+	s.MachineAnswered(now, MachineOrder{Machine: "m", Wave: 1}, Executed)
+	now = now.Add(machineListLag / 2)
+	s.SetMachines(now, now, MachineList{Machines: []Machine{machineOfW}, Pages: 1})
+	must.True(t, s.waves[1].members[0].mayBeDown())
+	list(Machine{Name: "m", Pool: "p", Unavailable: true})
+	must.True(t, s.workers["w"].ended)
+	must.True(t, s.waves[1].members[0].mayBeDown())
+}
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -176,15 +176,18 @@
 func (s *State) resolveExecutedOrders(now, asked time.Time) {
 	for _, name := range sortedKeys(s.executedOrders) {
 		t := s.executedOrders[name]
-		if _, known := s.machines[name]; !asked.After(t.at) || known && !s.listedNow(name) {
+		m, known := s.machines[name]
+		if !asked.After(t.at) || known && !s.listedNow(name) {
 			continue
 		}
-		delete(s.executedOrders, name)
 		w := s.workers[t.worker]
-		if w == nil {
-			continue
+		up := w != nil && m.Worker == t.worker && m.Up
+		if up && asked.Sub(t.at) <= machineListLag {
+			continue // the list may be older than the order
 		}
-		if m := s.machines[name]; m.Worker == t.worker && m.Up {
+		delete(s.executedOrders, name)
+		switch {
+		case up:
 			s.uncordon(name)
 			w.maintenanceOrdered, w.moveOrdered = false, false
 			for _, wv := range s.waves {
@@ -192,10 +195,10 @@
 					p.returned = p.returned || p.begun && p.machine == name
 				}
 			}
-			continue
+		case w != nil:
+			w.ended = true
+			s.releaseAll(now, w)
 		}
-		w.ended = true
-		s.releaseAll(now, w)
 	}
 }
 
