Let a machine move again that was away when a move was rejected

A rejected move (400: no such machine, or not for this pool) was remembered for good. Change: it is forgotten once the machine is gone from the lists, so that it may move when it comes back.

TestRefusedMoveOfAMachineThatComesBack failed before.

--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -66,6 +66,7 @@
 		}
 		if !s.machinesUnclear && (list.Pages <= 1 || !s.machineSeen[name].Equal(formerAsOf)) {
 			delete(s.machineSeen, name)
+			maps.DeleteFunc(s.refusedMoves, func(t moveTarget, _ bool) bool { return t.machine == name }) // one that comes back may move
 			continue
 		}
 		s.machines[name] = m
--- a/core/sched/move_test.go
+++ b/core/sched/move_test.go
@@ -60,3 +60,17 @@
 		must.Eq(t, sent, s.workers["w"].cordoned)
 	}
 }
+
+// TestRefusedMoveOfAMachineThatComesBack guards against a machine that never moves again, since a move was rejected while it was away.
+func TestRefusedMoveOfAMachineThatComesBack(t *testing.T) {
+	s, list := ownerWithRun(t)
+	list(machineOfW, otherMachine)
+	s.startMove(s.machinesAsOf, "n", "q")
+	s.MachineAnswered(s.machinesAsOf, MachineOrder{Machine: "n", Pool: "q"}, Malformed)
+	spare := moveCandidate{Machine: otherMachine, spare: true}
+	must.False(t, s.mayMoveTo(spare, "q"))
+	list(machineOfW)
+	list(machineOfW)
+	list(machineOfW, otherMachine)
+	must.True(t, s.mayMoveTo(spare, "q"))
+}
