Don't take one answer for the proof that a machine is not part of its wave

One answer 409 (`wave`) counted as the beginning of the maintenance, and was stored as that. The machine API may learn of a wave later than the owner (MIXED).

--- a/core/sched/machines_sim_test.go
+++ b/core/sched/machines_sim_test.go
@@ -13,12 +13,13 @@
 
 // simMachineAPI is the state of the simulated machine API.
 type simMachineAPI struct {
-	busy     bool          // it refuses all calls
-	silent   bool          // it answers no call; it executes half of the orders
-	old      bool          // its lists are up to machineListLag older than the call
-	late     time.Duration // its lists arrive as much later
-	pageSize int           // number of machines on a page, or zero for lists of one page; later pages begin at a position
-	former   []Machine     // the list from which old lists are read
+	busy        bool          // it refuses all calls
+	silent      bool          // it answers no call; it executes half of the orders
+	unknownWave int64         // number of a wave of which it has not learnt yet
+	old         bool          // its lists are up to machineListLag older than the call
+	late        time.Duration // its lists arrive as much later
+	pageSize    int           // number of machines on a page, or zero for lists of one page; later pages begin at a position
+	former      []Machine     // the list from which old lists are read
 }
 
 // pageDelay is the time between the calls for two pages of a list.
@@ -132,6 +133,9 @@
 		return
 	}
 	for _, name := range w.wave(s.Wave).Machines {
+		if s.Wave == w.machineAPI.unknownWave {
+			continue // it is part of no wave
+		}
 		if w.pools[name] != "" && !w.maintained[waveOrder{s.Wave, name}] && w.unmaintained[waveOrder{s.Wave, name}].IsZero() {
 			w.violated("wave %d is completed, and the maintenance of %s has not begun", s.Wave, name)
 		}
--- a/core/sched/sim_test.go
+++ b/core/sched/sim_test.go
@@ -769,6 +769,9 @@
 	if w.pools[m.Machine] != "spare" && !slices.ContainsFunc(w.workers, func(x *simWorker) bool { return !x.down && machineOf(x) == m.Machine }) {
 		return MachineBusy
 	}
+	if m.Pool == "" && m.Wave == w.machineAPI.unknownWave {
+		return NotInWave
+	}
 	due := waveOrder{m.Wave, m.Machine}
 	if m.Pool == "" && w.maintained[due] || m.Pool != "" && w.pools[m.Machine] == m.Pool {
 		return Executed // the order had been executed before
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -37,6 +37,7 @@
 	excluded    bool      // the machine is gone
 	lacking     int       // number of lists of machines in a row that lack it; those requested before its rejection do not count
 	lackingAsOf time.Time // when the last of them was requested
+	denials     int       // number of times that the machine API answered that it is not part of the wave
 	rejectedAt  time.Time // when the machine API rejected an order to it while no list showed it, or as to no machine; zero once a later list shows it
 	returned    bool      // the machine is up again after its maintenance, or gone
 	inFlight    bool      // an order was sent and is not answered yet
@@ -61,6 +62,10 @@
 	neededMachineCost     = 10_000                  // of taking a machine that batch tasks need, in runs; above any number of long-running tasks
 )
 
+// denialsToBelieve is the number of orders that the machine API must reject, rejectedRetryDelay apart, before a machine is taken for no part of a
+// wave that names it: the API may learn of the wave later than the owner.
+const denialsToBelieve = 3
+
 // AddWave adds a wave; a wave that is known already stays as it is.
 func (s *State) AddWave(now time.Time, w Wave) {
 	if _, known := s.waves[w.Number]; known {
@@ -118,8 +123,13 @@
 		p.begun, p.unconfirmed = true, false
 		s.machineOrderExecuted(now, p.machine)
 	case NotInWave:
-		p.begun, p.returned, p.unconfirmed = true, true, false
+		s.notOrdered(now, p)
 		s.uncordon(p.machine)
+		p.chosenAt, p.unconfirmed, p.retryAt = time.Time{}, false, now.Add(rejectedRetryDelay)
+		if p.denials++; p.denials >= denialsToBelieve {
+			p.begun, p.returned = true, true // it needs no maintenance
+			s.logDecision("Excluded", TaskID{}, "", p.machine+" NotInWave, answered "+strconv.Itoa(p.denials)+" times", w.Number)
+		}
 	case StaleToken:
 		s.fencedOff = true
 	case Unanswered:
--- a/core/sched/wave_test.go
+++ b/core/sched/wave_test.go
@@ -159,3 +159,17 @@
 		must.Len(t, 3, w.waves[1].Begun)
 	}
 }
+
+// TestWaveThatTheMachineAPILearnsOfLate guards against MIXED: a machine counted as maintained once the machine API had answered that it was not
+// part of the wave. One that never is ends the wave all the same.
+func TestWaveThatTheMachineAPILearnsOfLate(t *testing.T) {
+	for _, late := range []time.Duration{time.Second, time.Hour} {
+		w := newSimulation(t, 1, map[string]int{"p": 4})
+		w.run(settleTime)
+		w.machineAPI.unknownWave = 1
+		w.schedule(late, func() { w.machineAPI.unknownWave = 0 })
+		w.requestWave(Wave{Number: 1, Machines: []string{"m00", "m01"}, TimeLimit: 20 * time.Second, MaxDown: 1})
+		w.run(12 * time.Second)
+		must.True(t, w.waves[1].Completed)
+	}
+}
