--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -321,7 +321,7 @@
 	}
 	turns := s.turnsLeft(w)
 	for _, p := range s.sortedWaveMachines(now, w, turns) {
-		if p.begun || p.excluded || p.inFlight || (p.unconfirmed || !p.rejectedAt.IsZero()) && now.Before(p.retryAt) {
+		if p.begun || p.excluded || p.inFlight || (p.unconfirmed || p.chosenAt.IsZero()) && now.Before(p.retryAt) {
 			continue
 		}
 		m := s.machines[p.machine]
