Don't end a worker's new incarnation by a refusal meant for the earlier one

A worker restarts under its id at another address. Change: refusals of what was sent before the restart was known, or was meant for another incarnation, end nothing else.

TestLateRefusalOfAnEarlierIncarnation failed before.

--- a/core/sched/poll.go
+++ b/core/sched/poll.go
@@ -31,6 +31,10 @@
 		s.fencedOff = true
 		return
 	case WrongIncarnation:
+		if result.Sent.Before(w.restartKnown) {
+			w.nextPoll = now.Add(minPollRetry) // the answer is older than the present incarnation, which may have another address
+			return
+		}
 		s.releaseAll(now, w)
 		return
 	case NotSent:
@@ -330,8 +334,10 @@
 		return
 	case WrongIncarnation:
 		r.neverBegan = true
-		s.releaseAll(now, w)
-		return
+		if !r.since.Before(w.restartKnown) {
+			s.releaseAll(now, w)
+			return
+		}
 	case Unhealthy:
 		w.pausedUntil = now.Add(unhealthyPause)
 	case TooLate, NoRoom:
@@ -381,7 +387,9 @@
 	case StaleToken:
 		s.fencedOff = true
 	case WrongIncarnation:
-		s.releaseAll(now, w)
+		if order.StartedAt.Equal(w.StartedAt) {
+			s.releaseAll(now, w)
+		}
 	case Executed:
 		// A stop that an earlier incarnation confirmed means nothing to the present one.
 		if r := w.runs[order.Task]; r != nil && r.number == order.Run && r.stopConfirmedAt.IsZero() && order.StartedAt.Equal(w.StartedAt) {
--- a/core/sched/restart_test.go
+++ b/core/sched/restart_test.go
@@ -584,3 +584,22 @@
 		}
 	})
 }
+
+// TestLateRefusalOfAnEarlierIncarnation guards against TWICE: another worker at the former address of a restarted one refused orders that had been
+// sent there, and the runs of the new incarnation counted as ended.
+func TestLateRefusalOfAnEarlierIncarnation(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s, poll := successor(t, now)
+	s.AddJob(now, batch("j", "p", 1, 900, 1), Progress{}, false)
+	sent, first := now, s.workers["w"].StartedAt
+	now = now.Add(time.Second)
+	s.workerRestarted(now, s.workers["w"], now)
+	poll(now, nil, nil)
+	start := s.Plan(now).Starts[0]
+	s.StartAnswered(now, start, Executed)
+	s.PollAnswered(now, "w", PollResult{Answer: WrongIncarnation, Sent: sent})
+	s.StopAnswered(now, Stop{Worker: "w", StartedAt: first, Task: TaskID{Job: "earlier"}, Run: 1}, WrongIncarnation)
+	must.MapLen(t, 1, s.workers["w"].runs)
+	s.PollAnswered(now, "w", PollResult{Answer: WrongIncarnation, Sent: now})
+	must.MapEmpty(t, s.workers["w"].runs)
+}
