--- a/core/sched/soak_test.go
+++ b/core/sched/soak_test.go
@@ -72,8 +72,7 @@
 	*wave++
 	machines := sortedKeys(w.pools)
 	machines = machines[r.IntN(len(machines)):]
-	w.maxDown[*wave] = 1 + r.IntN(2)
-	w.owner.state.AddWave(w.now, Wave{Number: *wave, Machines: machines, TimeLimit: 30 * time.Second, MaxDown: w.maxDown[*wave]})
+	w.requestWave(Wave{Number: *wave, Machines: machines, TimeLimit: 30 * time.Second, MaxDown: 1 + r.IntN(2)})
 }
 
 // mayGiveUp reports whether two workers have crashed under a task of the job.
