--- a/core/sched/machines_sim_test.go
+++ b/core/sched/machines_sim_test.go
@@ -52,9 +52,11 @@
 
 // sendMachineOrder delivers an order to the machine API.
 func (w *simulation) sendMachineOrder(o *simOwner, m MachineOrder) {
+	w.log("owner %d sends %+v", o.token, m)
 	w.schedule(simLatency, func() {
 		switch api := w.machineAPI; {
 		case api.busy:
+			w.log("it is refused: %+v", m)
 			o.state.MachineAnswered(w.now, m, Unhealthy)
 		case api.silent:
 			if w.random.IntN(2) == 0 {
--- a/core/sched/wave_test.go
+++ b/core/sched/wave_test.go
@@ -171,5 +171,6 @@
 		w.requestWave(Wave{Number: 1, Machines: []string{"m00", "m01"}, TimeLimit: 20 * time.Second, MaxDown: 1})
 		w.run(12 * time.Second)
 		must.True(t, w.waves[1].Completed)
+		must.Eq(t, late < time.Minute, w.maintained[waveOrder{1, "m00"}])
 	}
 }
