Don't let a refusal settle an earlier order that got no answer

An order got no answer, a repetition was refused (503, or 409 `busy`), and the tasks on the machine counted as available for the maintenance of others; then the repetition was executed (AVAIL). Change: the worker stays marked until the order is answered.

TestRefusalDoesNotSettleAnUnansweredOrder failed before.

--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -123,9 +123,10 @@
 		p.begun, p.unconfirmed = true, false
 		s.machineOrderExecuted(now, p.machine)
 	case NotInWave:
+		p.unconfirmed = false
 		s.notOrdered(now, p)
 		s.uncordon(p.machine)
-		p.chosenAt, p.unconfirmed, p.retryAt = time.Time{}, false, now.Add(rejectedRetryDelay)
+		p.chosenAt, p.retryAt = time.Time{}, now.Add(rejectedRetryDelay)
 		if p.denials++; p.denials >= denialsToBelieve {
 			p.begun, p.returned = true, true // it needs no maintenance
 			s.logDecision("Excluded", TaskID{}, "", p.machine+" NotInWave, answered "+strconv.Itoa(p.denials)+" times", w.Number)
@@ -148,19 +149,20 @@
 	s.placementChanged, s.fleetChanged = true, true
 }
 
-// notOrdered records that an order to a wave's machine was not executed.
+// notOrdered records that an order to a wave's machine was not executed. An earlier one that got no answer may have been.
 func (s *State) notOrdered(now time.Time, p *waveMachine) {
 	p.retryAt = now.Add(maintenanceRetryDelay)
-	if w := s.workers[s.machines[p.machine].Worker]; w != nil {
+	if w := s.workers[s.machines[p.machine].Worker]; w != nil && !p.unconfirmed {
 		w.maintenanceOrdered = false
 	}
 }
 
 // rejected records that the machine API rejected an order to a wave's machine that may be gone, which later lists must confirm.
 func (s *State) rejected(now time.Time, p *waveMachine) {
+	p.unconfirmed = false
 	s.notOrdered(now, p)
 	s.uncordon(p.machine)
-	p.rejectedAt, p.lacking, p.unconfirmed, p.chosenAt, p.retryAt = now, 0, false, time.Time{}, now.Add(rejectedRetryDelay)
+	p.rejectedAt, p.lacking, p.chosenAt, p.retryAt = now, 0, time.Time{}, now.Add(rejectedRetryDelay)
 	s.machinesRequestedAt = time.Time{}
 }
 
--- a/core/sched/wave_test.go
+++ b/core/sched/wave_test.go
@@ -174,3 +174,19 @@
 		must.Eq(t, late < time.Minute, w.maintained[waveOrder{1, "m00"}])
 	}
 }
+
+// TestRefusalDoesNotSettleAnUnansweredOrder guards against AVAIL: an order for a machine got no answer, and when a further one was refused the
+// tasks there counted as available for the maintenance of other machines.
+func TestRefusalDoesNotSettleAnUnansweredOrder(t *testing.T) {
+	for _, answer := range []Answer{Unhealthy, MachineBusy} {
+		s, list := ownerWithRun(t)
+		list(machineOfW, otherMachine)
+		s.AddWave(s.machinesAsOf, Wave{Number: 1, Machines: []string{"m"}, TimeLimit: time.Minute, MaxDown: 1})
+		order := MachineOrder{Machine: "m", Wave: 1}
+		s.workers["w"].maintenanceOrdered = true
+		s.MachineAnswered(s.machinesAsOf, order, Unanswered)
+		s.MachineAnswered(s.machinesAsOf, order, answer)
+		must.True(t, s.waves[1].members[0].mayBeDown())
+		must.True(t, s.workers["w"].maintenanceOrdered)
+	}
+}
