Take no machine down by an old list of machines

After an outage of the machine API a machine was ordered down by a list from before it. Change: an order needs a list that is at most 3 s old.

TestNoMaintenanceByAnOldList failed before.

--- a/core/sched/machines_sim_test.go
+++ b/core/sched/machines_sim_test.go
@@ -14,6 +14,7 @@
 // simMachineAPI is the state of the simulated machine API.
 type simMachineAPI struct {
 	busy        bool          // it refuses all calls
+	listsFail   bool          // it refuses to list machines
 	silent      bool          // it answers no call; it executes half of the orders
 	unknownWave int64         // number of a wave of which it has not learnt yet
 	old         bool          // its lists are up to machineListLag older than the call
@@ -28,7 +29,7 @@
 // readMachines gives an owner the list of machines, of which the pages in list have been read.
 func (w *simulation) readMachines(o *simOwner, asked time.Time, list MachineList) {
 	api := &w.machineAPI
-	if api.busy || api.silent {
+	if api.busy || api.silent || api.listsFail {
 		return
 	}
 	all := w.listMachines()
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -55,6 +55,7 @@
 	maintenanceRetryDelay = 500 * time.Millisecond  // after an order that was refused or not answered
 	rejectedRetryDelay    = time.Second             // after an order to a listed machine that the machine API rejected as unknown
 	machineListLag        = 200 * time.Millisecond  // a list of machines may be this old when it is read
+	maxMachineListAge     = 3 * time.Second         // no machine goes down by an older list, since another worker may run there
 	waveReserveDivisor    = 3                       // one part in this many of a wave's time is held back, since outages delay the wave
 	maintenanceOverhead   = 1500 * time.Millisecond // time that one machine's turn takes beyond its maintenance
 	pressedDownDivisor    = 2                       // a wave should not need more than one part in this many of MaxDown, since outages hold machines up
@@ -353,7 +354,10 @@
 			}
 		}
 		s.logWaiting(now, w, p)
-		if now.Before(p.retryAt) || !p.unconfirmed && down >= w.MaxDown || !p.unconfirmed && !spare && !s.mayTakeDown(now, s.workers[m.Worker], now.Sub(p.chosenAt) < batchDrainTimeout) {
+		if now.Before(p.retryAt) || !p.unconfirmed && now.Sub(s.machineSeen[p.machine]) > maxMachineListAge {
+			continue
+		}
+		if !p.unconfirmed && down >= w.MaxDown || !p.unconfirmed && !spare && !s.mayTakeDown(now, s.workers[m.Worker], now.Sub(p.chosenAt) < batchDrainTimeout) {
 			continue
 		}
 		if !p.unconfirmed {
--- a/core/sched/wave_test.go
+++ b/core/sched/wave_test.go
@@ -190,3 +190,24 @@
 		must.True(t, s.workers["w"].maintenanceOrdered)
 	}
 }
+
+// TestNoMaintenanceByAnOldList guards against AVAIL: a machine was taken down whose worker, by a list from before an outage of the machine API, ran
+// nothing, though another worker with tasks ran there.
+func TestNoMaintenanceByAnOldList(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 4})
+	w.run(settleTime)
+	w.submit(longRunningJob("long", "p", 3))
+	w.run(time.Second)
+	w.machineAPI.listsFail = true
+	for name := range w.pools {
+		w.removeMachine(name)
+		w.addMachine(name, "p")
+	}
+	w.run(8 * time.Second)
+	must.Eq(t, 3, w.runningTasks("long"))
+	w.requestWave(Wave{Number: 1, Machines: sortedKeys(w.pools), TimeLimit: 20 * time.Second, MaxDown: 4})
+	w.run(time.Second)
+	w.machineAPI.listsFail = false
+	w.run(20 * time.Second)
+	must.True(t, w.waves[1].Completed)
+}
