Let a new owner await a list that shows its predecessor's last orders

Change: the first order awaits a list that was requested machineListLag after the owner began.

TestSuccessorAwaitsAListOfItsOwnTime failed before.

--- a/core/sched/share_test.go
+++ b/core/sched/share_test.go
@@ -81,6 +81,7 @@
 			}
 			*s.demandOf("busy") = poolDemand{machines: 4, floor: 1, need: 6, share: 4}
 			*s.demandOf("idle") = poolDemand{machines: 2, floor: 2, need: 2, share: 2}
+			s.machinesAsOf = now.Add(time.Second)
 			s.AddWave(now, w)
 			s.planWave(now.Add(c.elapsed), s.waves[1], &Orders{})
 			must.True(t, s.workers["w-idle0"].cordoned)
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -304,8 +304,8 @@
 
 // planWave chooses machines of a wave and orders their maintenance once what runs on them may be ended.
 func (s *State) planWave(now time.Time, w *wave, o *Orders) {
-	if len(s.machines) == 0 {
-		return
+	if len(s.machines) == 0 || s.machinesAsOf.Sub(s.began) <= machineListLag {
+		return // the list may not show yet which machines an earlier owner took down
 	}
 	down, chosen, left := 0, 0, 0
 	for _, p := range w.members {
--- a/core/sched/wave_test.go
+++ b/core/sched/wave_test.go
@@ -211,3 +211,19 @@
 	w.run(20 * time.Second)
 	must.True(t, w.waves[1].Completed)
 }
+
+// TestSuccessorAwaitsAListOfItsOwnTime guards against LIMIT: the first list of a new owner was a little older than the last orders of its
+// predecessor, and it took down as many machines again.
+func TestSuccessorAwaitsAListOfItsOwnTime(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 8})
+	w.machineAPI.old = true
+	w.run(settleTime)
+	w.requestWave(Wave{Number: 1, Machines: sortedKeys(w.pools), TimeLimit: 20 * time.Second, MaxDown: 2})
+	for len(w.unavailableUntil) == 0 {
+		w.run(simStep)
+	}
+	clear(w.waves) // the store had lost the wave's status
+	w.changeOwner()
+	w.run(20 * time.Second)
+	must.True(t, w.waves[1].Completed)
+}
