Complete a wave by a recent list only

Change: a wave that was not completed yet is completed only by a list that is at most 3 s old.

TestWaveIsNotCompletedByAnOldList failed before.

--- a/core/sched/machines_sim_test.go
+++ b/core/sched/machines_sim_test.go
@@ -102,6 +102,7 @@
 		x.down = true
 		for id := range x.runs {
 			w.lostAt[id] = w.now
+			w.struck[id]++ // an owner takes it for a crash
 		}
 		clear(x.runs)
 	}
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -55,7 +55,7 @@
 	maintenanceRetryDelay = 500 * time.Millisecond  // after an order that was refused or not answered
 	rejectedRetryDelay    = time.Second             // after an order to a listed machine that the machine API rejected as unknown
 	machineListLag        = 200 * time.Millisecond  // a list of machines may be this old when it is read
-	maxMachineListAge     = 3 * time.Second         // no machine goes down by an older list, since another worker may run there
+	maxMachineListAge     = 3 * time.Second         // an older list shows neither which worker runs on a machine nor that a machine is gone
 	waveReserveDivisor    = 3                       // one part in this many of a wave's time is held back, since outages delay the wave
 	maintenanceOverhead   = 1500 * time.Millisecond // time that one machine's turn takes beyond its maintenance
 	pressedDownDivisor    = 2                       // a wave should not need more than one part in this many of MaxDown, since outages hold machines up
@@ -260,6 +260,7 @@
 		return
 	}
 	w.allBegun = true
+	outdated := now.Sub(s.machinesAsOf) > maxMachineListAge && !w.completed // a machine that was gone may be back
 	for _, p := range w.members {
 		m := s.machines[p.machine]
 		switch {
@@ -275,7 +276,7 @@
 		if p.begun && !p.returned && (m.Up || p.unlisted()) && asOf.Sub(p.orderedAt) > s.settings.UpkeepTime+machineListLag {
 			p.returned = true
 		}
-		if !p.begun && !p.excluded {
+		if !p.begun && (!p.excluded || outdated) {
 			w.allBegun = false
 		}
 	}
@@ -394,10 +395,10 @@
 	}
 }
 
-// manned reports whether a worker answers that was last seen on the machine.
+// manned reports whether a worker answers that was last seen on the machine, or that no list has shown yet.
 func (s *State) manned(machine string) bool {
 	for _, w := range s.workers {
-		if w.machine == machine && w.polled && w.pollFailures == 0 && !w.ended {
+		if (w.machine == machine || w.machine == "") && w.polled && w.pollFailures == 0 && !w.ended {
 			return true
 		}
 	}
--- a/core/sched/wave_test.go
+++ b/core/sched/wave_test.go
@@ -227,3 +227,27 @@
 	w.run(20 * time.Second)
 	must.True(t, w.waves[1].Completed)
 }
+
+// TestWaveIsNotCompletedByAnOldList guards against MIXED: the last order of a wave was answered long after the list that showed another machine of
+// it gone, which was back by then.
+func TestWaveIsNotCompletedByAnOldList(t *testing.T) {
+	s, list := ownerWithRun(t)
+	list(machineOfW, otherMachine)
+	s.AddWave(s.machinesAsOf, Wave{Number: 1, Machines: []string{"m", "gone"}, TimeLimit: time.Minute, MaxDown: 2})
+	list(machineOfW, otherMachine)
+	list(machineOfW, otherMachine)
+	wave := s.waves[1]
+	s.MachineAnswered(s.machinesAsOf, MachineOrder{Machine: "gone", Wave: 1}, Malformed)
+	for range listsToForget {
+		list(machineOfW, otherMachine)
+		s.updateWaveMachines(s.machinesAsOf, wave)
+	}
+	must.True(t, wave.members[1].excluded)
+	late := s.machinesAsOf.Add(2 * maxMachineListAge)
+	s.MachineAnswered(late, MachineOrder{Machine: "m", Wave: 1}, Executed)
+	s.updateWaveMachines(late, wave)
+	must.False(t, wave.allBegun)
+	s.SetMachines(late, late, MachineList{Machines: []Machine{{Name: "m", Pool: "p", Unavailable: true}, otherMachine}})
+	s.updateWaveMachines(late, wave)
+	must.True(t, wave.allBegun)
+}
--- a/core/sched/wavesoak_test.go
+++ b/core/sched/wavesoak_test.go
@@ -94,6 +94,9 @@
 			}
 			must.MapEmpty(t, w.unmaintained)
 			for id := range w.jobs {
+				if w.stored[id].State == Failed && w.mayGiveUp(id) {
+					continue
+				}
 				if j := w.jobs[id]; j.longRunning() {
 					must.Eq(t, 4, w.runningTasks(id), must.Sprint(id, "\n", w.owner.state.dump(id)))
 					continue
