Repeat an unanswered maintenance order only while the machine may go down

Change: while its worker answers, it awaits the same conditions; once no copy of the order can be executed any more, the order is settled.

TestUnansweredOrderIsNotRepeatedAtOnce failed before.

--- a/core/sched/machines_sim_test.go
+++ b/core/sched/machines_sim_test.go
@@ -14,6 +14,7 @@
 // simMachineAPI is the state of the simulated machine API.
 type simMachineAPI struct {
 	busy        bool          // it refuses all calls
+	losesOrders bool          // it neither executes nor answers orders
 	listsFail   bool          // it refuses to list machines
 	silent      bool          // it answers no call; it executes half of the orders
 	unknownWave int64         // number of a wave of which it has not learnt yet
@@ -62,6 +63,8 @@
 		case api.busy:
 			w.log("it is refused: %+v", m)
 			o.state.MachineAnswered(w.now, m, Unhealthy)
+		case api.losesOrders:
+			w.schedule(simTimeout, func() { o.state.MachineAnswered(w.now, m, Unanswered) })
 		case api.silent:
 			if w.random.IntN(2) == 0 {
 				w.executeMachineOrder(o, m)
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -355,6 +355,14 @@
 			}
 		}
 		s.logWaiting(now, w, p)
+		if wk := s.workers[m.Worker]; p.unconfirmed && !spare && wk.answers() {
+			if now.Sub(p.orderedAt) > lateExecution && wk.lastPoll.After(p.orderedAt) {
+				p.unconfirmed = false // the order will not be executed any more
+			}
+			if !s.mayTakeDown(now, wk, false) {
+				continue // the order has not ended what runs there, and must not now
+			}
+		}
 		if now.Before(p.retryAt) || !p.unconfirmed && now.Sub(s.machineSeen[p.machine]) > maxMachineListAge {
 			continue
 		}
@@ -398,7 +406,7 @@
 // manned reports whether a worker answers that was last seen on the machine, or that no list has shown yet.
 func (s *State) manned(machine string) bool {
 	for _, w := range s.workers {
-		if (w.machine == machine || w.machine == "") && w.polled && w.pollFailures == 0 && !w.ended {
+		if (w.machine == machine || w.machine == "") && w.answers() && !w.ended {
 			return true
 		}
 	}
@@ -544,6 +552,9 @@
 	return members
 }
 
+// answers reports whether the worker has answered its last poll.
+func (w *worker) answers() bool { return w != nil && w.polled && w.pollFailures == 0 }
+
 // mayTakeDown reports whether the runs on a worker may be ended for the maintenance of its machine.
 func (s *State) mayTakeDown(now time.Time, w *worker, waitForBatch bool) bool {
 	return s.maintenanceBlocker(now, w, waitForBatch) == ""
--- a/core/sched/wave_test.go
+++ b/core/sched/wave_test.go
@@ -251,3 +251,24 @@
 	s.updateWaveMachines(late, wave)
 	must.True(t, wave.allBegun)
 }
+
+// TestUnansweredOrderIsNotRepeatedAtOnce guards against AVAIL: an order got no answer and was not executed, and it was repeated while another
+// task of a step was unavailable.
+func TestUnansweredOrderIsNotRepeatedAtOnce(t *testing.T) {
+	w := newSimulation(t, 1, map[string]int{"p": 3})
+	w.run(settleTime)
+	w.submit(longRunningJob("long", "p", 3))
+	w.run(2 * time.Second)
+	on := w.runsOf("long")
+	first, second := on[TaskID{Job: "long"}], on[TaskID{Job: "long", Index: 1}]
+	w.machineAPI.losesOrders = true
+	w.requestWave(Wave{Number: 1, Machines: []string{machineOf(first)}, TimeLimit: 30 * time.Second, MaxDown: 1})
+	w.run(time.Second)
+	second.unreachable = true // its task has no other place
+	w.run(15 * time.Second)
+	w.machineAPI.losesOrders = false
+	w.run(2 * time.Second)
+	second.unreachable = false
+	w.run(10 * time.Second)
+	must.True(t, w.waves[1].Completed)
+}
