--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -744,7 +744,10 @@
 
 // saveWave requests storing a wave's status when it has changed.
 func (s *State) saveWave(w *wave, o *Orders) {
-	w.completed = w.completed || w.allBegun
+	if w.allBegun && !w.completed {
+		w.completed = true
+		s.logDecision("WaveCompleted", TaskID{}, "", "after "+s.planned.Sub(w.requestedAt).String()+", "+s.listAge(s.planned, w), w.Number)
+	}
 	status := WaveStatus{Wave: w.Number, Completed: w.completed, Asked: w.requestedAt}
 	for _, p := range w.members {
 		if p.begun {
