Make three tests fail without the change that they guard

TestCompletionOfAWaveIsStoredWhole took an absent record for a stored one. The test of an executed order did not see that a list without the machine settled it. The guard of workers on no listed machine had no test of its own (TestNoProbeOfAMannedMachine).

--- a/core/sched/machines_test.go
+++ b/core/sched/machines_test.go
@@ -82,6 +82,7 @@
 	s.machineOrderExecuted(s.machinesAsOf.Add(time.Millisecond), "m")
 	list(otherMachine)
 	must.MapLen(t, 1, s.workers["w"].runs)
+	must.MapLen(t, 1, s.executedOrders) // nor does it show that the machine is still up
 	list(machineOfW, otherMachine)
 	must.MapLen(t, 1, s.workers["w"].runs)
 	must.MapEmpty(t, s.executedOrders)
--- a/core/sched/wave_test.go
+++ b/core/sched/wave_test.go
@@ -272,3 +272,25 @@
 	w.run(10 * time.Second)
 	must.True(t, w.waves[1].Completed)
 }
+
+// TestNoProbeOfAMannedMachine guards against AVAIL: the maintenance of a machine that lists lacked was ordered to learn whether it exists, while a
+// worker answered that was seen there, or that no list had shown yet.
+func TestNoProbeOfAMannedMachine(t *testing.T) {
+	for _, c := range []struct {
+		machine string // on which a list has shown the worker
+		probes  int
+	}{{"m", 0}, {"", 0}, {"n", 1}} {
+		s, list := ownerWithRun(t)
+		list(otherMachine)
+		s.AddWave(s.machinesAsOf, Wave{Number: 1, Machines: []string{"m"}, TimeLimit: time.Minute, MaxDown: 1})
+		s.SetWorkers(s.machinesAsOf, []Worker{s.workers["w"].Worker})
+		s.workers["w"].machine = c.machine
+		var o Orders
+		for range listsToForget {
+			must.SliceEmpty(t, o.Machines)
+			list(otherMachine)
+			s.planWaves(s.machinesAsOf, &o)
+		}
+		must.Len(t, c.probes, o.Machines, must.Sprint(c.machine))
+	}
+}
--- a/io/node/wave_test.go
+++ b/io/node/wave_test.go
@@ -34,8 +34,9 @@
 		t.Fatal("the record of the wave is not written")
 	}
 	c.saveBatcher.Wait() // no event of the control is handled any more
-	_, err = p.Get(t.Context(), keyWaves+"1")
-	must.NoError(t, err)
-	_, err = p.Get(t.Context(), "status/wave")
-	must.NoError(t, err)
+	for _, key := range []string{keyWaves + "1", "status/wave"} {
+		r, err := p.Get(t.Context(), key)
+		must.NoError(t, err)
+		must.Positive(t, r.Revision, must.Sprint(key))
+	}
 }
