--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// replaceMachines replaces the list of machines. A machine that the list lacks stays as it was if the list shows an entry that can't be used, or
-// shows nothing, or if it is the first list that lacks the machine and has several pages. A machine whose entry can't be used stays as it was too.
+// replaceMachines replaces the list of machines. A machine that the list lacks stays as it was if the list is unclear, since it shows nothing or an
+// entry that can't be used, or if it has several pages and is the first that lacks the machine. So does a machine whose entry can't be used.
 func (s *State) replaceMachines(asked time.Time, list MachineList) {
 	former, formerAsOf := s.machines, s.machinesAsOf
 	s.machines, s.machinesAsOf, s.machinesUnclear = make(map[string]Machine, len(list.Machines)), asked, len(list.Machines) == 0
@@ -98,13 +98,10 @@
 	if paged && w.machine == "" {
 		listsNeeded = listsToForget // the first of them may lack its machine
 	}
-	switch {
-	case !w.unseen() || onMachine || !asked.After(w.silentSince):
+	if s.machinesUnclear || onMachine || !w.unseen() || !asked.After(w.silentSince) {
 		w.unshown = 0
-	case !s.machinesUnclear:
+	} else {
 		w.unshown++
-	default:
-		w.unshown = 0
 	}
 	switch {
 	case w.endedByList && onMachine:
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -262,26 +262,28 @@
 	w.allBegun = true
 	outdated := now.Sub(s.machinesAsOf) > maxMachineListAge && !w.completed // a machine that was gone may be back
 	for _, p := range w.members {
-		m := s.machines[p.machine]
 		switch {
 		case !s.listedNow(p.machine):
 			s.noteLacking(now, w, p)
 		case s.machinesAsOf.After(p.rejectedAt):
 			p.lacking, p.excluded, p.rejectedAt = 0, false, time.Time{}
 		}
-		asOf := s.machineSeen[p.machine]
-		if p.unlisted() {
-			asOf = s.machinesAsOf
-		}
-		if p.begun && !p.returned && (m.Up || p.unlisted()) && asOf.Sub(p.orderedAt) > s.settings.UpkeepTime+machineListLag {
-			p.returned = true
-		}
+		p.returned = p.returned || s.hasReturned(p)
 		if !p.begun && (!p.excluded || outdated) {
 			w.allBegun = false
 		}
 	}
 }
 
+// hasReturned reports whether the maintenance of a machine has begun and is over, by a list that was requested since.
+func (s *State) hasReturned(p *waveMachine) bool {
+	asOf := s.machineSeen[p.machine]
+	if p.unlisted() {
+		asOf = s.machinesAsOf
+	}
+	return p.begun && (s.machines[p.machine].Up || p.unlisted()) && asOf.Sub(p.orderedAt) > s.settings.UpkeepTime+machineListLag
+}
+
 // noteLacking notes that the list of machines lacks a machine of a wave, and excludes the machine if it is gone.
 func (s *State) noteLacking(now time.Time, w *wave, p *waveMachine) {
 	since := latest(w.knownAt, p.rejectedAt)
@@ -366,7 +368,7 @@
 		if now.Before(p.retryAt) || !p.unconfirmed && now.Sub(s.machineSeen[p.machine]) > maxMachineListAge {
 			continue
 		}
-		if !p.unconfirmed && down >= w.MaxDown || !p.unconfirmed && !spare && !s.mayTakeDown(now, s.workers[m.Worker], now.Sub(p.chosenAt) < batchDrainTimeout) {
+		if !p.unconfirmed && (down >= w.MaxDown || !spare && !s.mayTakeDown(now, s.workers[m.Worker], now.Sub(p.chosenAt) < batchDrainTimeout)) {
 			continue
 		}
 		if !p.unconfirmed {
