--- a/io/node/fake_test.go
+++ b/io/node/fake_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,8 @@
 const (
 	fakeOperator = "operator/"
 	fakeWorkers  = "workers/"
+	fakeWaves    = fakeOperator + "wave/"
+	fakeStatus   = "status/wave/"
 	taskTime     = 60 * time.Millisecond
 )
 
@@ -35,6 +38,11 @@
 func (fakeDialect) WorkersPrefix() string  { return fakeWorkers }
 
 func (fakeDialect) Operator(r store.Record) (OperatorRecord, error) {
+	if strings.HasPrefix(r.Key, fakeWaves) {
+		var w sched.Wave
+		err := json.Unmarshal(r.Value, &w)
+		return OperatorRecord{Wave: &w}, errors.Wrap(err, "decode")
+	}
 	var c Config
 	err := json.Unmarshal(r.Value, &c)
 	return OperatorRecord{Config: &c}, errors.Wrap(err, "decode")
@@ -46,8 +54,9 @@
 	return w, errors.Wrap(err, "decode")
 }
 
-func (fakeDialect) WaveStatus(sched.WaveStatus) (store.Record, error) {
-	return store.Record{Key: "status/wave", Value: []byte(`{}`)}, nil
+func (fakeDialect) WaveStatus(s sched.WaveStatus) (store.Record, error) {
+	value, err := json.Marshal(s)
+	return store.Record{Key: fakeStatus + strconv.FormatInt(s.Wave, 10), Value: value}, errors.Wrap(err, "encode")
 }
 
 // fakeFleet simulates all workers and counts the starts of each task.
@@ -404,6 +413,12 @@
 // newCluster starts a cluster of size entries with three workers. If first is zero, the first entry owns the workers before
 // the others start.
 func newCluster(t *testing.T, size int, first int) (*cluster, []*faultyBackend) {
+	t.Helper()
+	return newClusterWithMachines(t, size, first, nil)
+}
+
+// newClusterWithMachines starts a cluster whose entries use the machine API.
+func newClusterWithMachines(t *testing.T, size int, first int, machines Machines) (*cluster, []*faultyBackend) {
 	t.Helper()
 	now := SteadyClock()
 	c := &cluster{t: t, platform: &stand.Platform{Seed: 1, Unlimited: true}, fleet: newFleet(now)}
@@ -415,8 +430,8 @@
 		name := "e" + string(rune('1'+i))
 		n := New(Settings{
 			Name: name, Cores: entryCores, LinkMbps: entryLinkMbps, Zone: "z", Deployment: "test", PeerAddress: freeAddress(t),
-			Bounds: sched.Settings{HoldMost: 6 * time.Second, KeepEnded: time.Minute, ToleratedZones: 1},
-		}, Dependencies{Store: store.NewClient(b), Workers: countingWorkers{c.fleet, name}, Dialect: fakeDialect{}, Now: now})
+			Bounds: sched.Settings{HoldMost: 6 * time.Second, KeepEnded: time.Minute, ToleratedZones: 1, UpkeepTime: fakeUpkeepTime},
+		}, Dependencies{Store: store.NewClient(b), Workers: countingWorkers{c.fleet, name}, Machines: machines, Dialect: fakeDialect{}, Now: now})
 		c.nodes = append(c.nodes, n)
 		ctx, cancel := context.WithCancel(t.Context())
 		c.stops = append(c.stops, cancel)
--- a/io/node/wave_test.go
+++ b/io/node/wave_test.go
@@ -34,7 +34,7 @@
 		t.Fatal("the record of the wave is not written")
 	}
 	c.saveBatcher.Wait() // no event of the control is handled any more
-	for _, key := range []string{keyWaves + "1", "status/wave"} {
+	for _, key := range []string{keyWaves + "1", fakeStatus + "1"} {
 		r, err := p.Get(t.Context(), key)
 		must.NoError(t, err)
 		must.Positive(t, r.Revision, must.Sprint(key))
