Start no task on a machine in the plan that orders it down

A machine went away and came back after an order that got no answer. Change: each order cordons the worker. An order that is settled does not count as under way any more.

TestNoStartBesideARepeatedOrder failed before.

--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -359,7 +359,7 @@
 		s.logWaiting(now, w, p)
 		if wk := s.workers[m.Worker]; p.unconfirmed && !spare && wk.answers() {
 			if now.Sub(p.orderedAt) > lateExecution && wk.lastPoll.After(p.orderedAt) {
-				p.unconfirmed = false // the order will not be executed any more
+				p.unconfirmed, wk.maintenanceOrdered = false, false // the order will not be executed any more
 			}
 			if !s.mayTakeDown(now, wk, false) {
 				continue // the order has not ended what runs there, and must not now
@@ -376,7 +376,8 @@
 			chosen--
 		}
 		if wk := s.workers[m.Worker]; wk != nil {
-			wk.maintenanceOrdered = true
+			// The worker may have come after its machine was chosen.
+			wk.maintenanceOrdered, wk.cordoned = true, wk.cordoned || !spare
 		}
 		w.order(now, p, o)
 	}
--- a/core/sched/wave_test.go
+++ b/core/sched/wave_test.go
@@ -294,3 +294,19 @@
 		must.Len(t, c.probes, o.Machines, must.Sprint(c.machine))
 	}
 }
+
+// TestNoStartBesideARepeatedOrder guards against AVAIL: a machine went away and came back after an order that got no answer, and the plan that
+// repeated the order started a task on the new worker.
+func TestNoStartBesideARepeatedOrder(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s, _ := successor(t, now)
+	now = now.Add(time.Second)
+	s.SetMachines(now, now, MachineList{Machines: []Machine{machineOfW}, Pages: 1})
+	s.AddWave(now, Wave{Number: 1, Machines: []string{"m"}, TimeLimit: time.Minute, MaxDown: 1})
+	m := s.waves[1].members[0]
+	m.chosenAt, m.orderedAt, m.unconfirmed = now, now, true
+	s.AddJob(now, batch("j", "p", 1, 900, 1), Progress{}, false)
+	o := s.Plan(now)
+	must.Len(t, 1, o.Machines)
+	must.SliceEmpty(t, o.Starts)
+}
