Take no machine down whose worker may have been replaced

Change: while a worker answers that no list has shown, a machine whose listed worker does not answer awaits a newer list.

TestNoMaintenanceUnderAnUnseenWorker failed before.

--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -368,6 +368,9 @@
 		if now.Before(p.retryAt) || !p.unconfirmed && now.Sub(s.machineSeen[p.machine]) > maxMachineListAge {
 			continue
 		}
+		if !spare && !s.workers[m.Worker].answers() && s.manned(p.machine) {
+			continue // a newer list must show whether another worker runs there
+		}
 		if !p.unconfirmed && (down >= w.MaxDown || !spare && !s.mayTakeDown(now, s.workers[m.Worker], now.Sub(p.chosenAt) < batchDrainTimeout)) {
 			continue
 		}
--- a/core/sched/wave_test.go
+++ b/core/sched/wave_test.go
@@ -310,3 +310,21 @@
 	must.Len(t, 1, o.Machines)
 	must.SliceEmpty(t, o.Starts)
 }
+
+// TestNoMaintenanceUnderAnUnseenWorker guards against AVAIL: a machine was taken down whose worker, by the last list, had ended, while another
+// one ran tasks there that no list had shown yet.
+func TestNoMaintenanceUnderAnUnseenWorker(t *testing.T) {
+	for _, c := range []struct {
+		machine string // on which a list has shown the worker that answers
+		orders  int
+	}{{"", 0}, {"n", 1}} {
+		now := time.Unix(1_700_000_000, 0)
+		s, _ := successor(t, now)
+		now = now.Add(time.Second)
+		former := Machine{Name: "m", Pool: "p", Up: true, Worker: "former"}
+		s.SetMachines(now, now, MachineList{Machines: []Machine{former, otherMachine}, Pages: 1})
+		s.AddWave(now, Wave{Number: 1, Machines: []string{"m"}, TimeLimit: time.Minute, MaxDown: 1})
+		s.workers["w"].machine = c.machine
+		must.Len(t, c.orders, s.Plan(now).Machines)
+	}
+}
