Let only the answer to the last order of a machine count

An order that followed a rejected one got no answer. Change: a new order drops the earlier rejection.

TestOrderAfterARejectionIsAwaited failed before.

--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -389,7 +389,7 @@
 
 // order orders the maintenance of a machine.
 func (w *wave) order(now time.Time, p *waveMachine, o *Orders) {
-	p.inFlight, p.orderedAt = true, now
+	p.inFlight, p.orderedAt, p.rejectedAt = true, now, time.Time{} // only the answer to the last order counts
 	o.Machines = append(o.Machines, MachineOrder{Machine: p.machine, Wave: w.Number})
 }
 
--- a/core/sched/wave_test.go
+++ b/core/sched/wave_test.go
@@ -328,3 +328,22 @@
 		must.Len(t, c.orders, s.Plan(now).Machines)
 	}
 }
+
+// TestOrderAfterARejectionIsAwaited guards against a wave that never ends: an order that followed a rejected one got no answer, and the machine
+// was excluded by the earlier answer but still counted as down.
+func TestOrderAfterARejectionIsAwaited(t *testing.T) {
+	s, list := ownerWithRun(t)
+	list(machineOfW, otherMachine)
+	s.AddWave(s.machinesAsOf, Wave{Number: 1, Machines: []string{"gone"}, TimeLimit: time.Minute, MaxDown: 1})
+	m, order := s.waves[1].members[0], MachineOrder{Machine: "gone", Wave: 1}
+	s.MachineAnswered(s.machinesAsOf, order, Malformed)
+	s.waves[1].order(s.machinesAsOf, m, &Orders{})
+	s.MachineAnswered(s.machinesAsOf, order, Unanswered)
+	for range listsToForget {
+		list(machineOfW, otherMachine)
+		s.updateWaveMachines(s.machinesAsOf, s.waves[1])
+	}
+	must.False(t, m.excluded)
+	s.probeUnlisted(s.machinesAsOf, s.waves[1], 1, &Orders{})
+	must.True(t, m.inFlight)
+}
