Name the parts of a wave's plan, and keep each test's story to one line

Change: mayRepeatOrder, settled, mayHaveWorker, lackingLists, lackedAsOf; simulateLongRunning and awaitCompletion in the tests, with the same bounds and assertions. Decisions stay.

--- a/core/sched/machines_sim_test.go
+++ b/core/sched/machines_sim_test.go
@@ -48,7 +48,7 @@
 		return
 	}
 	list.Machines = append(list.Machines, rest...)
-	if api.late > 0 {
+	if api.late > 0 { // scheduling takes a step
 		w.schedule(api.late, func() { o.state.SetMachines(w.now, asked, list) })
 		return
 	}
--- a/core/sched/machines_test.go
+++ b/core/sched/machines_test.go
@@ -74,8 +74,7 @@
 	must.Eq(t, asked, s.machinesAsOf)
 }
 
-// TestTornListEndsNoRunOfAnExecutedOrder guards against TWICE: an order had been executed before, so that the runs on the machine went on, and
-// the next list lacked the machine.
+// TestTornListEndsNoRunOfAnExecutedOrder guards against TWICE: a torn list decided whether an executed order had ended the runs on its machine.
 func TestTornListEndsNoRunOfAnExecutedOrder(t *testing.T) {
 	s, list := ownerWithRun(t)
 	list(machineOfW, otherMachine)
@@ -107,8 +106,7 @@
 	must.True(t, s.workers["w"].usable(now))
 }
 
-// TestOldListDoesNotUndoAnExecutedOrder guards against LIMIT: a list that was a little older than an executed order showed the machine as up, which
-// then counted as maintained.
+// TestOldListDoesNotUndoAnExecutedOrder guards against LIMIT: by a list a little older than an executed order the machine counted as maintained.
 func TestOldListDoesNotUndoAnExecutedOrder(t *testing.T) {
 	s, list := ownerWithRun(t)
 	list(machineOfW)
--- a/core/sched/move_test.go
+++ b/core/sched/move_test.go
@@ -45,8 +45,7 @@
 	must.Eq(t, 2, l.maxShare(later, poolSurplusTime))
 }
 
-// TestMoveOfAnUnlistedMachine guards against a worker that takes no more tasks: lists lacked the machine of a chosen move for a while, and
-// the move was dropped. A move whose order was sent must await its answer.
+// TestMoveOfAnUnlistedMachine guards against a worker that takes no more tasks since its chosen move was dropped.
 func TestMoveOfAnUnlistedMachine(t *testing.T) {
 	for _, sent := range []bool{false, true} {
 		s, list := ownerWithRun(t)
--- a/core/sched/restart_test.go
+++ b/core/sched/restart_test.go
@@ -585,8 +585,7 @@
 	})
 }
 
-// TestLateRefusalOfAnEarlierIncarnation guards against TWICE: another worker at the former address of a restarted one refused orders that had been
-// sent there, and the runs of the new incarnation counted as ended.
+// TestLateRefusalOfAnEarlierIncarnation guards against TWICE: a refusal meant for an earlier incarnation ended the runs of the present one.
 func TestLateRefusalOfAnEarlierIncarnation(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	s, poll := successor(t, now)
--- a/core/sched/wave.go
+++ b/core/sched/wave.go
@@ -32,28 +32,28 @@
 
 // waveMachine is one machine of a wave.
 type waveMachine struct {
-	machine     string
-	begun       bool      // an order was executed
-	excluded    bool      // the machine is gone
-	lacking     int       // number of lists of machines in a row that lack it; those requested before its rejection do not count
-	lackingAsOf time.Time // when the last of them was requested
-	denials     int       // number of times that the machine API answered that it is not part of the wave
-	rejectedAt  time.Time // when the machine API rejected an order to it while no list showed it, or as to no machine; zero once a later list shows it
-	returned    bool      // the machine is up again after its maintenance, or gone
-	inFlight    bool      // an order was sent and is not answered yet
-	unconfirmed bool      // an order got no answer and may have been executed
-	orderedAt   time.Time // when an order was last sent or answered
-	chosenAt    time.Time // when the machine was chosen; its worker takes no new tasks from then on
-	heldSince   time.Time // since when the chosen machine must not go down; zero if it may
-	emptying    bool      // a task was stopped since the choice, because too many of its step run there
-	retryAt     time.Time
-	lastLogged  time.Time // when the reason for its waiting was last logged
+	machine      string
+	begun        bool      // an order was executed
+	excluded     bool      // the machine is gone
+	lackingLists int       // number of lists of machines in a row that lack it; those requested before its rejection do not count
+	lackedAsOf   time.Time // when the last of them was requested
+	denials      int       // number of times that the machine API answered that it is not part of the wave
+	rejectedAt   time.Time // when the machine API rejected an order to it while no list showed it, or as to no machine; zero once a later list shows it
+	returned     bool      // the machine is up again after its maintenance, or gone
+	inFlight     bool      // an order was sent and is not answered yet
+	unconfirmed  bool      // an order got no answer and may have been executed
+	orderedAt    time.Time // when an order was last sent or answered
+	chosenAt     time.Time // when the machine was chosen; its worker takes no new tasks from then on
+	heldSince    time.Time // since when the chosen machine must not go down; zero if it may
+	emptying     bool      // a task was stopped since the choice, because too many of its step run there
+	retryAt      time.Time
+	lastLogged   time.Time // when the reason for its waiting was last logged
 }
 
 const (
 	batchDrainTimeout     = 3 * time.Second         // a chosen machine waits this long for its batch tasks; most take less
 	maintenanceRetryDelay = 500 * time.Millisecond  // after an order that was refused or not answered
-	rejectedRetryDelay    = time.Second             // after an order to a listed machine that the machine API rejected as unknown
+	rejectedRetryDelay    = time.Second             // after an order that the machine API rejected for the machine or its wave
 	machineListLag        = 200 * time.Millisecond  // a list of machines may be this old when it is read
 	maxMachineListAge     = 3 * time.Second         // an older list shows neither which worker runs on a machine nor that a machine is gone
 	waveReserveDivisor    = 3                       // one part in this many of a wave's time is held back, since outages delay the wave
@@ -163,12 +163,12 @@
 	p.unconfirmed = false
 	s.notOrdered(now, p)
 	s.uncordon(p.machine)
-	p.rejectedAt, p.lacking, p.chosenAt, p.retryAt = now, 0, time.Time{}, now.Add(rejectedRetryDelay)
+	p.rejectedAt, p.lackingLists, p.chosenAt, p.retryAt = now, 0, time.Time{}, now.Add(rejectedRetryDelay)
 	s.machinesRequestedAt = time.Time{}
 }
 
 // unlisted reports whether the lists of machines lack the machine.
-func (p *waveMachine) unlisted() bool { return p.lacking >= listsToForget }
+func (p *waveMachine) unlisted() bool { return p.lackingLists >= listsToForget }
 
 // machineOrderExecuted records that an order to a machine was executed. The answer is the same for an order that
 // had been executed before, in which case the runs on the machine go on, so the next list of machines decides
@@ -231,7 +231,7 @@
 	s.seekRoom = nil
 	for _, number := range sortedKeys(s.waves) {
 		w := s.waves[number]
-		if w.completionStored && w.storedBegun == len(w.members) {
+		if w.settled() {
 			continue
 		}
 		s.updateWaveMachines(now, w)
@@ -243,6 +243,9 @@
 	}
 }
 
+// settled reports whether the stored status says that the wave is completed and that maintenance has begun on all of its machines.
+func (w *wave) settled() bool { return w.completionStored && w.storedBegun == len(w.members) }
+
 // requestMachineList requests the list of machines once the last request is machineListInterval old.
 func (s *State) requestMachineList(now time.Time, o *Orders) {
 	if now.Sub(s.machinesRequestedAt) >= machineListInterval {
@@ -266,7 +269,7 @@
 		case !s.listedNow(p.machine):
 			s.noteLacking(now, w, p)
 		case s.machinesAsOf.After(p.rejectedAt):
-			p.lacking, p.excluded, p.rejectedAt = 0, false, time.Time{}
+			p.lackingLists, p.excluded, p.rejectedAt = 0, false, time.Time{}
 		}
 		p.returned = p.returned || s.hasReturned(p)
 		if !p.begun && (!p.excluded || outdated) {
@@ -287,10 +290,10 @@
 // noteLacking notes that the list of machines lacks a machine of a wave, and excludes the machine if it is gone.
 func (s *State) noteLacking(now time.Time, w *wave, p *waveMachine) {
 	since := latest(w.knownAt, p.rejectedAt)
-	if !s.machinesAsOf.After(p.lackingAsOf) || s.machinesAsOf.Sub(since) <= machineListLag || s.machinesUnclear {
+	if !s.machinesAsOf.After(p.lackedAsOf) || s.machinesAsOf.Sub(since) <= machineListLag || s.machinesUnclear {
 		return
 	}
-	p.lacking, p.lackingAsOf = p.lacking+1, s.machinesAsOf
+	p.lackingLists, p.lackedAsOf = p.lackingLists+1, s.machinesAsOf
 	if !p.rejectedAt.IsZero() && p.unlisted() && !p.excluded {
 		p.excluded = true
 		s.logDecision("Excluded", TaskID{}, "", p.machine+" Rejected "+now.Sub(p.rejectedAt).String()+" ago and NotListed, "+s.listAge(now, w), w.Number)
@@ -357,18 +360,13 @@
 			}
 		}
 		s.logWaiting(now, w, p)
-		if wk := s.workers[m.Worker]; p.unconfirmed && !spare && wk.answers() {
-			if now.Sub(p.orderedAt) > lateExecution && wk.lastPoll.After(p.orderedAt) {
-				p.unconfirmed, wk.maintenanceOrdered = false, false // the order will not be executed any more
-			}
-			if !s.mayTakeDown(now, wk, false) {
-				continue // the order has not ended what runs there, and must not now
-			}
+		if p.unconfirmed && !spare && !s.mayRepeatOrder(now, p, s.workers[m.Worker]) {
+			continue
 		}
 		if now.Before(p.retryAt) || !p.unconfirmed && now.Sub(s.machineSeen[p.machine]) > maxMachineListAge {
 			continue
 		}
-		if !spare && !s.workers[m.Worker].answers() && s.manned(p.machine) {
+		if !spare && !s.workers[m.Worker].answers() && s.mayHaveWorker(p.machine) {
 			continue // a newer list must show whether another worker runs there
 		}
 		if !p.unconfirmed && (down >= w.MaxDown || !spare && !s.mayTakeDown(now, s.workers[m.Worker], now.Sub(p.chosenAt) < batchDrainTimeout)) {
@@ -387,6 +385,18 @@
 	s.probeUnlisted(now, w, down+chosen, o)
 }
 
+// mayRepeatOrder reports whether an order that got no answer may be executed now. While the worker answers, the order has not ended what runs there.
+// An order that can't be executed any more is settled.
+func (s *State) mayRepeatOrder(now time.Time, p *waveMachine, w *worker) bool {
+	if !w.answers() {
+		return true
+	}
+	if now.Sub(p.orderedAt) > lateExecution && w.lastPoll.After(p.orderedAt) {
+		p.unconfirmed, w.maintenanceOrdered = false, false
+	}
+	return s.mayTakeDown(now, w, false)
+}
+
 // order orders the maintenance of a machine.
 func (w *wave) order(now time.Time, p *waveMachine, o *Orders) {
 	p.inFlight, p.orderedAt, p.rejectedAt = true, now, time.Time{} // only the answer to the last order counts
@@ -399,7 +409,7 @@
 	for _, p := range w.members {
 		switch {
 		case !p.unlisted() || p.begun || p.excluded || p.inFlight || !p.rejectedAt.IsZero() || now.Before(p.retryAt):
-		case s.moves[p.machine] != nil || s.otherOrderPending(w, p.machine) || s.manned(p.machine):
+		case s.moves[p.machine] != nil || s.otherOrderPending(w, p.machine) || s.mayHaveWorker(p.machine):
 		case p.unconfirmed:
 			w.order(now, p, o)
 		case taken < w.MaxDown:
@@ -409,8 +419,8 @@
 	}
 }
 
-// manned reports whether a worker answers that was last seen on the machine, or that no list has shown yet.
-func (s *State) manned(machine string) bool {
+// mayHaveWorker reports whether a worker answers that was last seen on the machine, or that no list has shown yet.
+func (s *State) mayHaveWorker(machine string) bool {
 	for _, w := range s.workers {
 		if (w.machine == machine || w.machine == "") && w.answers() && !w.ended {
 			return true
--- a/core/sched/wave_test.go
+++ b/core/sched/wave_test.go
@@ -50,8 +50,7 @@
 	}
 }
 
-// TestWaveNamesMachinesNewerThanTheList guards against MIXED: a wave was completed, and machines of it that had come since the owner last
-// read the list of machines never began their maintenance.
+// TestWaveNamesMachinesNewerThanTheList guards against MIXED: a wave was completed without machines that had come since the last list of machines.
 func TestWaveNamesMachinesNewerThanTheList(t *testing.T) {
 	for _, outage := range []time.Duration{0, 4 * time.Second} {
 		w := newSimulation(t, 1, map[string]int{"p": 6})
@@ -66,11 +65,7 @@
 		w.requestWave(Wave{Number: 1, Machines: sortedKeys(w.pools), TimeLimit: 30 * time.Second, MaxDown: 3})
 		w.run(outage / 4)
 		w.machineAPI.busy = false
-		began := w.now
-		for !w.waves[1].Completed {
-			w.run(100 * time.Millisecond)
-			must.Less(t, 20*time.Second, w.now.Sub(began))
-		}
+		w.awaitCompletion(1, 20*time.Second)
 		must.Len(t, 9, w.waves[1].Begun)
 	}
 }
@@ -117,24 +112,14 @@
 			machines := []string{"m00", "m01", "m02", "m03", "m04", "m05"}
 			w.requestWave(Wave{Number: 1, Machines: machines, TimeLimit: 30 * time.Second, MaxDown: 2})
 			c.gone(w)
-			began := w.now
-			for !w.waves[1].Completed {
-				w.run(100 * time.Millisecond)
-				must.Less(t, 8*time.Second, w.now.Sub(began))
-			}
+			w.awaitCompletion(1, 8*time.Second)
 		})
 	}
 }
 
-// TestNoMaintenanceBesideADrain guards against AVAIL: the plan that learned that a worker drains, and stopped a task there, took down the
-// machine of another task of the step.
+// TestNoMaintenanceBesideADrain guards against AVAIL: a plan took a machine down and stopped a task of the same step on a draining worker.
 func TestNoMaintenanceBesideADrain(t *testing.T) {
-	w := newSimulation(t, 1, map[string]int{"p": 5})
-	w.run(settleTime)
-	w.submit(longRunningJob("long", "p", 3))
-	w.run(2 * time.Second)
-	on := w.runsOf("long")
-	first, second := on[TaskID{Job: "long"}], on[TaskID{Job: "long", Index: 1}]
+	w, first, second := simulateLongRunning(t, 5)
 	first.Draining, first.DrainLeft = true, 2*time.Second
 	w.listWorkers(w.owner)
 	w.requestWave(Wave{Number: 1, Machines: []string{machineOf(second)}, TimeLimit: 20 * time.Second, MaxDown: 1})
@@ -142,8 +127,7 @@
 	must.True(t, w.waves[1].Completed)
 }
 
-// TestMachineThatComesBackIsMaintained guards against a machine that is never maintained since it was away when its wave was completed, also
-// if an earlier owner stored the completion.
+// TestMachineThatComesBackIsMaintained guards against a machine that is never maintained since it was away when its wave was completed.
 func TestMachineThatComesBackIsMaintained(t *testing.T) {
 	for _, successor := range []bool{false, true} {
 		w := newSimulation(t, 1, map[string]int{"p": 6})
@@ -164,8 +148,7 @@
 	}
 }
 
-// TestWaveThatTheMachineAPILearnsOfLate guards against MIXED: a machine counted as maintained once the machine API had answered that it was not
-// part of the wave. One that never is ends the wave all the same.
+// TestWaveThatTheMachineAPILearnsOfLate guards against MIXED: one answer that a machine is not part of its wave counted as maintenance.
 func TestWaveThatTheMachineAPILearnsOfLate(t *testing.T) {
 	for _, late := range []time.Duration{time.Second, time.Hour} {
 		w := newSimulation(t, 1, map[string]int{"p": 4})
@@ -179,8 +162,7 @@
 	}
 }
 
-// TestRefusalDoesNotSettleAnUnansweredOrder guards against AVAIL: an order for a machine got no answer, and when a further one was refused the
-// tasks there counted as available for the maintenance of other machines.
+// TestRefusalDoesNotSettleAnUnansweredOrder guards against AVAIL: a refusal made tasks available again whose machine an earlier order may have taken down.
 func TestRefusalDoesNotSettleAnUnansweredOrder(t *testing.T) {
 	for _, answer := range []Answer{Unhealthy, MachineBusy} {
 		s, list := ownerWithRun(t)
@@ -195,8 +177,7 @@
 	}
 }
 
-// TestNoMaintenanceByAnOldList guards against AVAIL: a machine was taken down whose worker, by a list from before an outage of the machine API, ran
-// nothing, though another worker with tasks ran there.
+// TestNoMaintenanceByAnOldList guards against AVAIL: a list from before an outage named a worker that ran on the machine no more.
 func TestNoMaintenanceByAnOldList(t *testing.T) {
 	w := newSimulation(t, 1, map[string]int{"p": 4})
 	w.run(settleTime)
@@ -216,8 +197,7 @@
 	must.True(t, w.waves[1].Completed)
 }
 
-// TestSuccessorAwaitsAListOfItsOwnTime guards against LIMIT: the first list of a new owner was a little older than the last orders of its
-// predecessor, and it took down as many machines again.
+// TestSuccessorAwaitsAListOfItsOwnTime guards against LIMIT: the first list of a new owner lacked its predecessor's last orders.
 func TestSuccessorAwaitsAListOfItsOwnTime(t *testing.T) {
 	w := newSimulation(t, 1, map[string]int{"p": 8})
 	w.machineAPI.old = true
@@ -232,8 +212,7 @@
 	must.True(t, w.waves[1].Completed)
 }
 
-// TestWaveIsNotCompletedByAnOldList guards against MIXED: the last order of a wave was answered long after the list that showed another machine of
-// it gone, which was back by then.
+// TestWaveIsNotCompletedByAnOldList guards against MIXED: a wave was completed by an old list that showed a machine gone which was back.
 func TestWaveIsNotCompletedByAnOldList(t *testing.T) {
 	s, list := ownerWithRun(t)
 	list(machineOfW, otherMachine)
@@ -256,15 +235,9 @@
 	must.True(t, wave.allBegun)
 }
 
-// TestUnansweredOrderIsNotRepeatedAtOnce guards against AVAIL: an order got no answer and was not executed, and it was repeated while another
-// task of a step was unavailable.
+// TestUnansweredOrderIsNotRepeatedAtOnce guards against AVAIL: an unanswered order was repeated while another task of a step was unavailable.
 func TestUnansweredOrderIsNotRepeatedAtOnce(t *testing.T) {
-	w := newSimulation(t, 1, map[string]int{"p": 3})
-	w.run(settleTime)
-	w.submit(longRunningJob("long", "p", 3))
-	w.run(2 * time.Second)
-	on := w.runsOf("long")
-	first, second := on[TaskID{Job: "long"}], on[TaskID{Job: "long", Index: 1}]
+	w, first, second := simulateLongRunning(t, 3)
 	w.machineAPI.losesOrders = true
 	w.requestWave(Wave{Number: 1, Machines: []string{machineOf(first)}, TimeLimit: 30 * time.Second, MaxDown: 1})
 	w.run(time.Second)
@@ -277,8 +250,7 @@
 	must.True(t, w.waves[1].Completed)
 }
 
-// TestNoProbeOfAMannedMachine guards against AVAIL: the maintenance of a machine that lists lacked was ordered to learn whether it exists, while a
-// worker answered that was seen there, or that no list had shown yet.
+// TestNoProbeOfAMannedMachine guards against AVAIL: a machine that lists lacked was ordered down while a worker there answered.
 func TestNoProbeOfAMannedMachine(t *testing.T) {
 	for _, c := range []struct {
 		machine string // on which a list has shown the worker
@@ -299,8 +271,7 @@
 	}
 }
 
-// TestNoStartBesideARepeatedOrder guards against AVAIL: a machine went away and came back after an order that got no answer, and the plan that
-// repeated the order started a task on the new worker.
+// TestNoStartBesideARepeatedOrder guards against AVAIL: a plan repeated an order to a machine and started a task on its new worker.
 func TestNoStartBesideARepeatedOrder(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	s, _ := successor(t, now)
@@ -315,8 +286,7 @@
 	must.SliceEmpty(t, o.Starts)
 }
 
-// TestNoMaintenanceUnderAnUnseenWorker guards against AVAIL: a machine was taken down whose worker, by the last list, had ended, while another
-// one ran tasks there that no list had shown yet.
+// TestNoMaintenanceUnderAnUnseenWorker guards against AVAIL: a machine was taken down under a new worker that no list had shown yet.
 func TestNoMaintenanceUnderAnUnseenWorker(t *testing.T) {
 	for _, c := range []struct {
 		machine string // on which a list has shown the worker that answers
@@ -333,8 +303,7 @@
 	}
 }
 
-// TestOrderAfterARejectionIsAwaited guards against a wave that never ends: an order that followed a rejected one got no answer, and the machine
-// was excluded by the earlier answer but still counted as down.
+// TestOrderAfterARejectionIsAwaited guards against a wave that never ends: an earlier rejection excluded a machine whose last order got no answer.
 func TestOrderAfterARejectionIsAwaited(t *testing.T) {
 	s, list := ownerWithRun(t)
 	list(machineOfW, otherMachine)
@@ -351,3 +320,23 @@
 	s.probeUnlisted(s.machinesAsOf, s.waves[1], 1, &Orders{})
 	must.True(t, m.inFlight)
 }
+
+// simulateLongRunning returns a simulation of a pool with a long-running job of three tasks, and the workers of the first two.
+func simulateLongRunning(t *testing.T, machines int) (w *simulation, first, second *simWorker) {
+	w = newSimulation(t, 1, map[string]int{"p": machines})
+	w.run(settleTime)
+	w.submit(longRunningJob("long", "p", 3))
+	w.run(2 * time.Second)
+	on := w.runsOf("long")
+	first, second = on[TaskID{Job: "long"}], on[TaskID{Job: "long", Index: 1}]
+	return w, first, second
+}
+
+// awaitCompletion fails the test unless a wave is completed within the limit.
+func (w *simulation) awaitCompletion(wave int64, limit time.Duration) {
+	w.t.Helper()
+	for began := w.now; !w.waves[wave].Completed; {
+		w.run(100 * time.Millisecond)
+		must.Less(w.t, limit, w.now.Sub(began))
+	}
+}
--- a/core/sched/wavesoak_test.go
+++ b/core/sched/wavesoak_test.go
@@ -69,8 +69,7 @@
 	}
 }
 
-// TestWaveSoak guards against waves that are completed without maintenance of a machine that exists, and against those that never end, while
-// machines come, go and come back, lists of machines are old, late, torn or missing, and the owner changes.
+// TestWaveSoak guards against waves that end without machines that exist, or never, under odd lists and changes of the owner.
 func TestWaveSoak(t *testing.T) {
 	for seed := *soakFirst; seed < *soakFirst+*soakSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/io/node/wave_test.go
+++ b/io/node/wave_test.go
@@ -12,8 +12,7 @@
 	"daisysaddle/io/store"
 )
 
-// TestCompletionOfAWaveIsStoredWhole guards against a wave that is never reported as completed: an owner ended between its record, by which
-// later owners take the wave for reported, and the status that the operator reads.
+// TestCompletionOfAWaveIsStoredWhole guards against a wave that is never reported: its record was stored and the operator's status was not.
 func TestCompletionOfAWaveIsStoredWhole(t *testing.T) {
 	p := &stand.Platform{Unlimited: true}
 	f := &faultyBackend{Platform: p}
--- a/io/node/wavesoak_test.go
+++ b/io/node/wavesoak_test.go
@@ -125,8 +125,7 @@
 	return len(completed)
 }
 
-// TestWavesOverEntries guards against waves that are completed without machines that exist, and against those that never end, while machines
-// come and go, calls to the machine API fail, and owners end.
+// TestWavesOverEntries guards against waves that end without machines that exist, or never, while calls fail and owners end.
 func TestWavesOverEntries(t *testing.T) {
 	for seed := *waveFirst; seed < *waveFirst+*waveSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
